Serve on real sockets round the decision module

glenrock/ is the real balancer: one actor each for the module, the name table, every instance and every command, on uvloop's socket calls. settings_of and the names of load reports move to wheatrouter/settings.py, shared with the adapter; the adapter's actions are unchanged (tests/test_drill.py).

UDP: uvloop has no sock_recvfrom/sock_sendto (NotImplementedError), so the peer socket is read by add_reader: the nearest thing, 64 datagrams a turn.

--- /dev/null
+++ b/glenrock/config.py
@@ -0,0 +1,94 @@
+"""The one place where configuration is read, checked and given defaults.
+
+LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from wheatrouter.interface import Settings
+from wheatrouter.settings import settings_of
+
+Address = tuple[str, int]
+
+SOCKETS = 1024  # descriptors, where no limit is told
+
+
+class ConfigError(Exception):
+    """The message names the key at fault."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    known: dict[str, Any]
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+
+
+def address_of(value: Any, key: str) -> Address:
+    host, colon, port = str(value).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: expected host:port, got {value!r}")
+    return host, int(port)
+
+
+def typed(raw: Any, key: str, kind: type, default: Any) -> Any:
+    value = raw.get(key, default)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise ConfigError(f"{key}: expected {kind.__name__}, got {value!r}")
+    return value
+
+
+def seed_of(value: Any) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected hex digits, got {value!r}") from None
+
+
+def read(env: Mapping[str, str]) -> Config:
+    path = env.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set; it names the configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as bad:
+        raise ConfigError(f"LB_CONFIG: cannot read {path}: {bad}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("LB_CONFIG: expected a JSON object")
+    return check({**raw, **{key: env[var] for key, var in (
+        ("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY")) if env.get(var)}})
+
+
+def check(raw: dict[str, Any]) -> Config:
+    for key in ("listen", "discovery", "settings"):
+        if key not in raw:
+            raise ConfigError(f"{key}: missing")
+    try:
+        settings = settings_of(typed(raw, "settings", dict, {}))
+    except ValueError as bad:
+        raise ConfigError(f"settings: {bad}") from None
+    limits = typed(raw, "limits", dict, {})
+    sockets = typed(limits, "sockets", int, SOCKETS)
+    if sockets < 64:
+        raise ConfigError(f"limits.sockets: at least 64 are needed, got {sockets}")
+    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    return Config(
+        name=str(raw.get("name", "")), listen=address_of(raw["listen"], "listen"),
+        discovery=address_of(raw["discovery"], "discovery"), seed=seed_of(raw.get("seed", "0")),
+        sockets=sockets, settings=settings, known=typed(raw, "known", dict, {}),
+        peer_listen=address_of(peer_listen, "peer_listen") if peer_listen else None,
+        peers=tuple(address_of(p, "peers") for p in typed(raw, "peers", list, [])),
+        peers_all=address_of(peers_all, "peers_all") if peers_all else None)
--- /dev/null
+++ b/glenrock/net/__init__.py
@@ -0,0 +1,1 @@
+"""The network side: sockets, lines and actors. Decides nothing."""
--- /dev/null
+++ b/glenrock/net/command.py
@@ -0,0 +1,477 @@
+"""The client side: connections accepted, first lines, answers, relays."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import traceback
+from dataclasses import dataclass
+from enum import Enum
+
+from wheatrouter import interface as io
+
+from ..config import Address
+from ..log import say
+from . import lines
+from .clock import Clock, micros
+from .decider import Decider
+from .errors import End, Outcome, Reach
+from .instance import Execution, Instances, end, tune
+from .mailbox import Mailbox
+
+FIRST_LINE_MS = 10_000.0  # a connection that says nothing this long is closed
+LINGER_MS = 1000.0  # the other side has this long to end what this side has ended
+SILENT_MS = 4500.0  # a client line unanswered this long: its instance is out of reach (7 s is the rule)
+STANDING_MS = 38_000.0  # a standing connection is lost when it is not up after 40 s
+AGAIN_MS = 250.0  # between two tries for one
+SWEEP_MS = 250.0
+NOTE_MS = 1000.0  # word of slow messages at an instance, at most this often
+BUFFER = 8192
+MAIL = 32  # messages that may wait for one command
+RESERVE = 40  # descriptors kept for everything but commands
+QUIET_MS = 450.0  # after SIGTERM new connections still come this long; one moved now would come back here
+KILL_MS = 700.0  # SIGKILL comes this long after the longest deadline, or later
+
+
+class Ended(Enum):
+    CLIENT_FIN = "client fin"
+    CLIENT_RST = "client rst"
+    INSTANCE_FIN = "instance fin"
+    INSTANCE_RST = "instance rst"
+    BETWEEN_LINES = "ready to move"
+    OVERDUE = "overdue"
+
+
+@dataclass(frozen=True)
+class Answered:
+    execution: Execution
+    outcome: Outcome
+
+
+@dataclass(frozen=True)
+class Move:
+    verdict: str
+
+
+class Command:
+    """One client connection from its first line to its end: an actor. It alone closes its sockets."""
+
+    def __init__(self, server: CommandServer, sock: socket.socket, opened: lines.Open, rest: bytes) -> None:
+        self.server, self.clock, self.decider = server, server.clock, server.decider
+        self.sock, self.opened, self.rest = sock, opened, rest
+        self.arrived = self.clock.now()
+        self.deadline = self.arrived + opened.wait_ms
+        self.mailbox = Mailbox(MAIL)
+        self.execution: Execution | None = None
+        self.attempt = -1
+        self.up = asyncio.Event()
+        self.over = False  # the module hears no more of it
+        self.splitter = lines.Splitter()
+        self.asked_at: float | None = None  # the oldest client line that nothing has answered
+        self.moving = ""  # the verdict of a move that is under way
+        self.idle = False  # the down pump waits for the instance
+        self.last_word = ""
+        self.tasks: list[asyncio.Task] = []
+
+    # -- what the module's actions do (decider.Command) ------------------------------------------------
+
+    def execute(self, instance: str, timeout_ms: float) -> None:
+        self.attempt += 1
+        self.launch(instance, timeout_ms, False)
+
+    def withdraw(self, attempt: int) -> None:
+        if self.execution and attempt == self.attempt and not self.up.is_set():
+            self.execution.withdraw()
+
+    def nack(self, retry_after_ms: float) -> None:
+        self.mailbox.put(lines.nack(retry_after_ms))
+
+    def fail(self) -> None:
+        self.mailbox.put(lines.FAILED)
+
+    def move(self) -> None:
+        self.mailbox.put(Move("cancelled"))
+
+    def launch(self, name: str, timeout_ms: float, insist: bool) -> None:
+        self.name = name
+        x = self.execution = Execution(self.opened.line, timeout_ms, self.answered, insist)
+        instance = self.server.instances.get(name)
+        if instance is None or not instance.mailbox.put(x):
+            self.answered(x, Outcome(End.NOT_SENT, Reach.NOT_CONNECTED))
+
+    def answered(self, x: Execution, outcome: Outcome) -> None:
+        self.mailbox.put(Answered(x, outcome))
+
+    # -- before UP -----------------------------------------------------------------------------------
+
+    def request(self) -> io.Request:
+        f, o = self.opened.fields, self.opened
+        return io.Request(o.id, f["c"], micros(self.deadline), o.key, o.group, f.get("t", ""), o.load,
+                          f.get("again") == "1")
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(self.pump_up(loop)))
+        guard = None
+        standing = self.opened.fields.get("at")
+        try:
+            if standing is not None:
+                self.launch(standing, STANDING_MS, True)
+            else:
+                # Guards against a module that failed: its own timer answers some milliseconds earlier.
+                guard = self.clock.call_at(self.deadline, self.mailbox.put, Ended.OVERDUE)
+                if not self.decider.post(self.request()):
+                    self.over = True
+                    self.nack(1000.0)
+            if await self.settle(standing):
+                if guard:
+                    guard.cancel()
+                self.tasks.append(loop.create_task(self.pump_down(loop)))
+                await self.relay()
+        finally:
+            if guard:
+                guard.cancel()
+            await self.close()
+
+    async def settle(self, standing: str | None) -> bool:
+        """Until it is up (true) or has had its answer."""
+        while True:
+            for mail in await self.mailbox.take():
+                if isinstance(mail, bytes):
+                    self.over = True
+                    await self.finish(mail)
+                    return False
+                if mail is Ended.OVERDUE:
+                    say("overdue", f"{self.opened.id} had no decision in time")
+                    self.gone()
+                    await self.finish(lines.FAILED)
+                    return False
+                if isinstance(mail, Ended):
+                    if standing is None:
+                        self.gone()
+                    return False
+                if isinstance(mail, Answered) and mail.execution is self.execution:
+                    if mail.outcome.end is End.UP:
+                        self.started(mail.execution, standing)
+                        return True
+                    if standing is None:
+                        self.report(mail.outcome.verdict, False, mail.outcome.report)
+                    elif self.clock.now() > self.arrived + STANDING_MS:
+                        await self.finish(lines.FAILED)
+                        return False
+                    else:
+                        self.clock.call_at(self.clock.now() + AGAIN_MS, self.launch, standing, STANDING_MS,
+                                           True)
+
+    def started(self, x: Execution, standing: str | None) -> None:
+        if standing is not None:
+            self.attempt = 0
+            self.decider.post(io.OpenConnection(self.request(), standing))
+        else:
+            self.decider.post(io.Started(self.opened.id, self.attempt, self.name, micros(x.latency_ms)))
+
+    def report(self, verdict: str, done: bool, report: dict[str, float]) -> None:
+        latency = micros(self.execution.latency_ms) if self.execution else 0
+        self.decider.post(io.AttemptEnded(self.opened.id, self.attempt, self.name, verdict, done, latency,
+                                          report))
+
+    def gone(self) -> None:
+        if not self.over:
+            self.over = True
+            self.decider.post(io.ClientGone(self.opened.id))
+
+    async def finish(self, line: bytes) -> None:
+        """The one final answer. Then the client's end is awaited: a close with its bytes unread would reset
+        the connection and the answer with it."""
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            async with self.clock.limit(LINGER_MS):
+                await loop.sock_sendall(self.sock, line)
+                self.sock.shutdown(socket.SHUT_WR)
+                await self.client_end()
+
+    async def client_end(self) -> None:
+        while True:
+            if any(m in (Ended.CLIENT_FIN, Ended.CLIENT_RST) for m in await self.mailbox.take()):
+                return
+
+    # -- the relay -----------------------------------------------------------------------------------
+
+    async def pump_up(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Client to instance; before UP it only notices the client's end."""
+        buffer, ended, count = bytearray(BUFFER), Ended.CLIENT_FIN, len(self.rest)
+        buffer[:count] = self.rest
+        try:
+            while count or (count := await loop.sock_recv_into(self.sock, buffer)):
+                await self.up.wait()
+                if self.asked_at is None and b"\n" in buffer[:count]:
+                    self.asked_at = self.clock.now()
+                try:
+                    await loop.sock_sendall(self.execution.sock, memoryview(buffer)[:count])
+                except OSError:
+                    ended = None  # the instance's end is told by the other pump
+                    return
+                count = 0
+        except OSError:
+            ended = Ended.CLIENT_RST
+        finally:
+            if ended:
+                self.mailbox.put(ended)
+
+    async def pump_down(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Instance to client, and what the lines tell the module."""
+        inst, chunk, ended = self.execution.sock, self.execution.first, Ended.INSTANCE_FIN
+        buffer = bytearray(BUFFER)
+        try:
+            while True:
+                if chunk:
+                    self.learn(self.splitter.feed(chunk))
+                    try:
+                        await loop.sock_sendall(self.sock, chunk)
+                    except OSError:
+                        return  # the client's end is told by the other pump
+                    self.up.set()
+                if self.moving and self.splitter.between:
+                    ended = Ended.BETWEEN_LINES
+                    break
+                self.idle = True
+                count = await loop.sock_recv_into(inst, buffer)
+                self.idle = False
+                if not count:
+                    if not self.moving:
+                        break
+                    if self.splitter.between:
+                        ended = Ended.BETWEEN_LINES
+                        break
+                    await self.clock.sleep(10)  # woken for a move within a line: its end is on its way
+                chunk = bytes(buffer[:count])
+        except OSError:
+            ended = Ended.INSTANCE_RST
+        self.mailbox.put(ended)
+
+    def learn(self, whole: list[bytes]) -> None:
+        now = self.clock.now()
+        for line in whole:
+            self.last_word, rest = lines.words(line)
+            if self.last_word == "LOAD":
+                load = lines.number(rest)
+                if load is not None and load >= 0:
+                    self.decider.post(io.ServerNote(self.opened.id, self.name, load=load))
+            elif self.asked_at is not None and self.up.is_set():
+                took, self.asked_at = now - self.asked_at, None
+                self.server.took(self, took)
+
+    async def relay(self) -> None:
+        while True:
+            for mail in await self.mailbox.take():
+                if isinstance(mail, Move):
+                    self.begin_move(mail.verdict)
+                elif mail is Ended.OVERDUE and self.moving:
+                    await self.hand_back()  # no line end came: the client is told all the same
+                    return
+                elif isinstance(mail, Ended) and mail is not Ended.OVERDUE:
+                    await self.end_with(mail)
+                    return
+
+    def begin_move(self, verdict: str) -> None:
+        if self.moving:
+            return
+        self.moving = verdict
+        self.clock.call_at(self.clock.now() + LINGER_MS / 2, self.mailbox.put, Ended.OVERDUE)
+        if self.idle and self.splitter.between:
+            # Wakes the down pump, which alone writes to the client. What lies unread is still passed on.
+            with contextlib.suppress(OSError):
+                self.execution.sock.shutdown(socket.SHUT_RD)
+
+    async def hand_back(self) -> None:
+        await self.stop_pumps(1)
+        self.close_instance()
+        self.tell_end(self.moving)
+        await self.finish(lines.MOVE)
+
+    async def end_with(self, mail: Ended) -> None:
+        """Passes an end on in kind, within a second."""
+        words = {"BYE": "served", "MOVE": "cancelled", "ERR": "error"}
+        if mail is Ended.BETWEEN_LINES:
+            await self.hand_back()
+        elif mail is Ended.INSTANCE_FIN:
+            self.tell_end(words.get(self.last_word, "broken"))
+            self.close_instance()
+            await self.finish(b"")
+        elif mail is Ended.INSTANCE_RST:
+            self.tell_end("broken")
+            await self.stop_pumps(0)
+            end(self.sock, reset=True)
+        elif mail is Ended.CLIENT_RST:
+            self.tell_end("cancelled")
+            await self.stop_pumps(0)
+            self.close_instance(reset=True)
+        else:
+            self.tell_end("cancelled")
+            with contextlib.suppress(OSError):
+                self.execution.sock.shutdown(socket.SHUT_WR)
+                async with self.clock.limit(LINGER_MS):
+                    await self.instance_end()
+
+    async def instance_end(self) -> None:
+        while True:
+            if any(m in (Ended.INSTANCE_FIN, Ended.INSTANCE_RST) for m in await self.mailbox.take()):
+                return
+
+    def tell_end(self, verdict: str) -> None:
+        if not self.over:
+            self.over = True
+            self.report(verdict, True, {})
+
+    # -- the end -------------------------------------------------------------------------------------
+
+    async def stop_pumps(self, first: int) -> None:
+        # uvloop wants nobody waiting on a socket that is closed.
+        for task in self.tasks[first:]:
+            task.cancel()
+        await asyncio.gather(*self.tasks[first:], return_exceptions=True)
+
+    def close_instance(self, reset: bool = False) -> None:
+        if self.execution and self.execution.sock:
+            sock, self.execution.sock = self.execution.sock, None
+            end(sock, reset)
+
+    async def close(self) -> None:
+        await self.stop_pumps(0)
+        x = self.execution
+        if x and not self.up.is_set() and x.task and not x.task.done():
+            x.withdraw()
+            await asyncio.wait([x.task])
+        self.close_instance()
+        end(self.sock)
+
+
+class CommandServer:
+    """Accepts clients, keeps the table of commands, watches for silent instances, hands all back."""
+
+    def __init__(self, decider: Decider, instances: Instances, clock: Clock, sockets: int) -> None:
+        self.decider, self.instances, self.clock = decider, instances, clock
+        self.most = (sockets - RESERVE) // 2
+        self.open = 0  # client connections
+        self.commands: dict[str, Command] = {}
+        decider.commands = self.commands
+        self.tasks: set[asyncio.Task] = set()
+        self.draining = False
+        settings = decider.balancer.set
+        aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
+        self.slow_ms = min(aims) / 3000 if aims and settings.tells_delay else 0.0
+        self.noted: dict[str, float] = {}  # instances whose messages were slow, and when that was told
+
+    def listen(self, address: Address) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(4096)
+        return sock
+
+    async def accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(listener)
+            except OSError as bad:
+                # Out of descriptors, or a client that left at once: the listener must outlive both.
+                say("accept", str(bad))
+                await self.clock.sleep(20)
+                continue
+            task = loop.create_task(self.connection(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def connection(self, sock: socket.socket) -> None:
+        self.open += 1
+        try:
+            tune(sock)
+            await self.serve(sock)
+        except OSError:
+            pass
+        except Exception:
+            say("connection", traceback.format_exc(limit=-3))
+        finally:
+            self.open -= 1
+            sock.close()
+
+    async def serve(self, sock: socket.socket) -> None:
+        loop, data = asyncio.get_running_loop(), b""
+        buffer = bytearray(lines.LONGEST)
+        while True:
+            async with self.clock.limit(FIRST_LINE_MS) as limit:
+                while b"\n" not in data and len(data) < lines.LONGEST:
+                    count = await loop.sock_recv_into(sock, buffer)
+                    if not count:
+                        return
+                    data += buffer[:count]
+            if limit.over:
+                return
+            line, newline, data = data.partition(b"\n")
+            if line + newline != lines.PING:
+                break
+            await loop.sock_sendall(sock, lines.PONG)
+        opened = lines.parse_open(line + newline) if newline and len(line) < lines.LONGEST else None
+        if opened is None or opened.id in self.commands:
+            say("first line", f"not understood: {line[:80]!r}")
+            await self.turn_away(sock, lines.FAILED)
+        elif self.open > self.most:
+            say("descriptors", f"{self.open} connections: nacked")
+            await self.turn_away(sock, lines.nack(500 + 500 * random.random()))
+        else:
+            command = self.commands[opened.id] = Command(self, sock, opened, data)
+            try:
+                await command.run()
+            finally:
+                command.gone()
+                del self.commands[opened.id]
+
+    async def turn_away(self, sock: socket.socket, line: bytes) -> None:
+        loop, buffer = asyncio.get_running_loop(), bytearray(lines.LONGEST)
+        async with self.clock.limit(LINGER_MS):
+            await loop.sock_sendall(sock, line)
+            sock.shutdown(socket.SHUT_WR)
+            while await loop.sock_recv_into(sock, buffer):
+                pass
+
+    def took(self, command: Command, ms: float) -> None:
+        """A message's time at an instance: told while it is slow, and once when it no longer is."""
+        if not self.slow_ms:
+            return
+        slow, told = ms > self.slow_ms, self.noted.get(command.name)
+        if slow and (told is None or self.clock.now() - told >= NOTE_MS):
+            self.noted[command.name] = self.clock.now()
+        elif slow or self.noted.pop(command.name, None) is None:
+            return
+        self.decider.post(io.ServerNote(command.opened.id, command.name, message_us=ms * 1000))
+
+    async def sweep(self) -> None:
+        while True:
+            await self.clock.sleep(SWEEP_MS)
+            oldest = self.clock.now() - SILENT_MS
+            for command in self.commands.values():
+                if command.asked_at is not None and command.asked_at < oldest and not command.moving:
+                    say("silent", f"{command.name} answers {command.opened.id} no more: client moved")
+                    command.mailbox.put(Move("broken"))
+            self.instances.tidy()
+
+    async def hand_back(self) -> None:
+        """After SIGTERM: goes on accepting, moves the clients over the time there is, and holds nothing when
+        SIGKILL comes."""
+        began = self.clock.now()
+        longest = max(c.deadline_us for c in self.decider.balancer.set.classes) / 1000
+        until = began + longest + KILL_MS - 500
+        await self.clock.sleep(QUIET_MS)
+        while self.commands and (now := self.clock.now()) < until:
+            still = [c for c in self.commands.values() if c.up.is_set() and not c.moving]
+            turns = max(1.0, (until - 200 - now) / 50)
+            for command in still[:max(1, round(len(still) / turns + 0.49))]:
+                command.mailbox.put(Move("cancelled"))
+            await self.clock.sleep(50)
+        for command in list(self.commands.values()):
+            command.mailbox.put(Move("cancelled") if command.up.is_set() else lines.nack(1000))
+        await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
--- /dev/null
+++ b/glenrock/net/decider.py
@@ -0,0 +1,93 @@
+"""The decision module's actor: the only caller of Balancer.handle.
+
+Whatever comes in between two turns is one batch. Actions leave through the four ports below, so another
+protocol or another source of the name table joins without touching this file.
+"""
+
+from __future__ import annotations
+
+import heapq
+import traceback
+from collections.abc import Callable
+from typing import Protocol
+
+from wheatrouter import Balancer
+from wheatrouter import interface as io
+
+from ..log import say
+from .clock import Clock, micros, millis
+from .mailbox import Mailbox
+
+MAIL = 65536  # events; past that new commands are refused, and nothing grows
+
+
+class Command(Protocol):
+    """What the module's actions need of a command, whatever protocol it came by."""
+
+    def execute(self, instance: str, timeout_ms: float) -> None: ...
+    def withdraw(self, attempt: int) -> None: ...
+    def nack(self, retry_after_ms: float) -> None: ...
+    def fail(self) -> None: ...
+    def move(self) -> None: ...
+
+
+class Decider:
+    def __init__(self, settings: io.Settings, seed: int, clock: Clock) -> None:
+        self.balancer = Balancer(settings, seed)
+        self.clock = clock
+        self.mailbox = Mailbox(MAIL)
+        self.timers: list[tuple[int, int]] = []
+        self.commands: dict[str, Command] = {}
+        self.probe: Callable[[str], None] = lambda name: None
+        self.tell: Callable[[bytes], None] = lambda data: None
+        self.watch: Callable[[], None] = lambda: None
+        self.last = 0
+
+    def post(self, event: io.Event) -> bool:
+        return self.mailbox.put(event)
+
+    async def run(self) -> None:
+        while True:
+            alarm = None
+            if self.timers:
+                # Half a millisecond late rather than early: a turn too early would find nothing due.
+                alarm = self.clock.call_at(millis(self.timers[0][0]) + 0.5, self.mailbox.wake)
+            batch = await self.mailbox.take()
+            if alarm:
+                alarm.cancel()
+            self.turn(batch)
+
+    def turn(self, batch: list[io.Event]) -> None:
+        now = self.last = max(self.last, micros(self.clock.now()))
+        while self.timers and self.timers[0][0] <= now:
+            batch.append(io.TimerFired(heapq.heappop(self.timers)[1]))
+        try:
+            actions = self.balancer.handle(now, batch)
+        except Exception:  # the commands concerned are answered by their own deadline
+            say("module", f"failed on {len(batch)} events: " + traceback.format_exc(limit=-3))
+            actions = self.balancer.out
+            if not self.timers:  # its round must go on
+                self.balancer.timer(now + 500_000, "")
+        for action in actions:
+            self.act(action)
+
+    def act(self, a: io.Action) -> None:
+        if isinstance(a, io.SetTimer):
+            heapq.heappush(self.timers, (a.at_us, a.ref))
+        elif isinstance(a, io.Probe):
+            self.probe(a.server)
+        elif isinstance(a, io.Tell):
+            self.tell(a.data)
+        elif isinstance(a, io.Watch):
+            self.watch()
+        elif command := self.commands.get(a.id):
+            if isinstance(a, io.Send):
+                command.execute(a.server, millis(a.timeout_us))
+            elif isinstance(a, io.Cancel):
+                command.withdraw(a.attempt)
+            elif isinstance(a, io.Refuse):
+                command.nack(millis(a.retry_after_us))
+            elif isinstance(a, io.Fail):
+                command.fail()
+            else:
+                command.move()
--- /dev/null
+++ b/glenrock/net/name_table.py
@@ -0,0 +1,120 @@
+"""The name table: discovery's list of instances, fetched whole once and then watched."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+from ..config import Address
+from ..log import say
+from .clock import Clock
+from .instance import Entry, end, row_of, tune
+
+WAIT_MS = 10_000  # a watch waits this long for news
+GRACE_MS = 1500  # and its answer may take this much longer
+FIRST_MS = 1000
+LARGEST = 4 << 20  # bytes of an answer
+
+
+class Answer:
+    """httptools' callbacks for one HTTP answer."""
+
+    def __init__(self) -> None:
+        self.body, self.whole = bytearray(), False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+
+def rows_of(raw: dict[str, Any]) -> tuple[int, bool, list[Entry]]:
+    rows = []
+    for item in raw["endpoints"]:
+        try:
+            rows.append(row_of(item))
+        except (ValueError, TypeError, KeyError) as bad:
+            say("name table", f"row {item!r} left out: {bad!r}")
+    return int(raw["index"]), bool(raw["snapshot"]), rows
+
+
+class NameTable:
+    def __init__(self, address: Address, clock: Clock, update: Callable[[str, list[Entry]], None],
+                 failed: Callable[[], None]) -> None:
+        self.address, self.clock, self.update, self.failed = address, clock, update, failed
+        self.sock: socket.socket | None = None
+        self.index: int | None = None
+        self.failures = 0
+        self.first = asyncio.Event()  # set when discovery has been heard once
+
+    def remember(self, known: dict[str, Any]) -> None:
+        """The list as this balancer had it last. It may be old, so the whole list is still asked for."""
+        try:
+            self.update("remembered", rows_of(known)[2])
+        except (KeyError, TypeError, ValueError) as bad:
+            say("name table", f"known: not a list ({bad!r}); starting without")
+            self.update("remembered", [])
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.call()
+                self.failures = 0
+            except (OSError, ValueError, TypeError, KeyError, httptools.HttpParserError) as bad:
+                self.hang_up()
+                self.failures += 1
+                self.failed()
+                wait = min(2000.0, 50.0 * 2 ** min(self.failures, 6)) * (0.5 + random.random() / 2)
+                say("name table", f"call failed ({bad!r}); again in {wait:.0f} ms")
+                await self.clock.sleep(wait)
+
+    async def call(self) -> None:
+        query = f"?index={self.index}&wait={WAIT_MS}" if self.index is not None else ""
+        limit_ms = WAIT_MS + GRACE_MS if query else FIRST_MS
+        async with self.clock.limit(limit_ms) as limit:
+            raw = await self.get(f"/discovery/hosts{query}")
+        if limit.over:
+            raise OSError("no answer in time")
+        index, snapshot, rows = rows_of(raw)
+        # The index is taken only with its rows, and the next call follows at once: within 200 ms it
+        # continues the watch, later it would start a new one.
+        self.index = index
+        if rows or snapshot:
+            self.update("full" if snapshot else "changes", rows)
+        self.first.set()
+
+    async def get(self, path: str) -> Any:
+        loop = asyncio.get_running_loop()
+        if self.sock is None:
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            tune(self.sock)
+            await loop.sock_connect(self.sock, self.address)
+        host = f"{self.address[0]}:{self.address[1]}"
+        await loop.sock_sendall(self.sock, f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        answer, buffer = Answer(), bytearray(16384)
+        while not answer.whole:
+            count = await loop.sock_recv_into(self.sock, buffer)
+            if not count:
+                raise OSError("discovery closed the connection")
+            answer.parser.feed_data(bytes(buffer[:count]))
+            if len(answer.body) > LARGEST:
+                raise OSError("the answer is too large")
+        if not answer.parser.should_keep_alive():
+            self.hang_up()
+        if answer.parser.get_status_code() != 200:
+            self.index = None  # perhaps it no longer knows that version: start from the whole list
+            raise OSError(f"status {answer.parser.get_status_code()}")
+        return json.loads(bytes(answer.body))
+
+    def hang_up(self) -> None:
+        if self.sock:
+            end(self.sock)
+            self.sock = None
--- /dev/null
+++ b/glenrock/net/peers.py
@@ -0,0 +1,57 @@
+"""Other balancers: datagrams of at most 256 bytes.
+
+uvloop has no sock_recvfrom or sock_sendto, so the socket is read when the loop says it is readable.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from wheatrouter import interface as io
+
+from ..config import Address
+from ..log import say
+
+LONGEST = 256
+AT_ONCE = 64  # datagrams read in one turn: a flood must not keep the loop from its connections
+
+
+class Peers:
+    def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
+                 post: Callable[[io.Event], bool]) -> None:
+        self.index = {address: n for n, address in enumerate(peers)}
+        self.peers, self.everyone, self.post = peers, everyone, post
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(listen)
+        asyncio.get_running_loop().add_reader(self.sock, self.receive)
+
+    def receive(self) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                data, sender = self.sock.recvfrom(LONGEST + 1)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an ICMP error of an earlier send
+            peer = self.index.get(sender)
+            if peer is None or len(data) > LONGEST:
+                say("peer", f"datagram of {len(data)} bytes from {sender} ignored")
+            else:
+                self.post(io.PeerMessage(peer, data))
+
+    def tell(self, data: bytes) -> None:
+        if len(data) > LONGEST:
+            say("peer", f"a message of {len(data)} bytes was not sent")
+            return
+        for address in (self.everyone,) if self.everyone else self.peers:
+            try:
+                self.sock.sendto(data, address)
+            except OSError as bad:
+                say("peer", f"message lost: {bad}")
+
+    def close(self) -> None:
+        asyncio.get_running_loop().remove_reader(self.sock)
+        self.sock.close()
--- a/wheatrouter/drill.py
+++ b/wheatrouter/drill.py
@@ -11,10 +11,10 @@
 
 from . import interface as i
 from .rules import Balancer
+from .settings import report_name, settings_of
 
 VERDICTS = {"delivered": "served", "app_error": "error", "shed": "full", "expired": "timeout",
             "dial_failed": "no_connection", "dropped": "broken", "revoked": "cancelled", "unused": "unsent"}
-REPORTS = {"x0": i.LOAD_RATIO, "x1": "backlog_s"}
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 KINDS = {"Partial": "changes", "Complete": "full", "Persisted": "remembered", "Error": "failed"}
 TEXT_FIELDS = {"profileData", "message"}
@@ -82,48 +82,15 @@
             name, colon, value = part.partition(":")
             if not colon:
                 raise BadInput(f"gauge is not name:value pairs: {text[:40]!r}")
-            out[REPORTS.get(name, name)] = real(value, "gauge")
+            out[report_name(name)] = real(value, "gauge")
     return out
 
 
-def settings_of(text: str) -> i.Settings:
+def settings_from(text: str) -> i.Settings:
     try:
-        raw = json.loads(text)
-        caps, rules, prices = raw.get("caps", {}), raw.get("obligations", {}), raw.get("tariffs", {})
-        domain = raw.get("domain", {})
-        aims = domain.get("messageAimUs", [])
-        quotas = domain.get("tenantQuotaConnections", [])
-        names = raw.get("report", {})
-        classes = tuple(
-            i.RequestClass(c["name"], int(c["targetUs"]), int(c["deadlineUs"]),
-                           int(aims[n]) if n < len(aims) else 0, float(c.get("worth", 1)),
-                           c.get("effect", "safe"), c.get("dedupScope", "all"), int(c.get("windowUs", 0)))
-            for n, c in enumerate(raw["classes"]))
-        tenants = tuple(i.Tenant(t["name"], float(quotas[n]) if n < len(quotas) else 0.0)
-                        for n, t in enumerate(raw.get("realms", [])))
-        how = names.get("how", "none")
-        return i.Settings(
-            classes=classes, tenants=tenants, zone=raw.get("az", ""), index=int(raw.get("slotNo", 0)),
-            balancers=int(raw.get("balancers", 1)), tick_us=int(raw.get("tickUs", 1000)),
-            max_attempts=int(caps.get("maxAttempts", 1)), may_duplicate=bool(caps.get("mayDuplicate")),
-            may_cancel=bool(caps.get("cancel")), may_probe=bool(caps.get("probes")),
-            may_tell=bool(caps.get("mayTell")), retry_after=bool(caps.get("retryAfter")),
-            max_retry_after_us=int(caps.get("maxRetryAfterUs", 0)),
-            dial_timeout_us=int(caps.get("dialTimeoutUs", 250_000)),
-            must_ask=raw.get("registryMode") == "ask",
-            ask_within_us=int(rules.get("askWithinUs", 10_000_000)),
-            answer_grace_us=int(rules.get("graceToAnswerUs", 0)),
-            drain_grace_us=int(rules.get("drainGraceUs", 0)), cold_share=float(rules.get("coldShare", 0.1)),
-            cold_us=int(rules.get("coldUs", 30_000_000)), cold_multiple=float(rules.get("fallMultiple", 1)),
-            cold_window_us=int(rules.get("overloadForUs", 1_000_000)),
-            by_work=raw.get("worthBy") == "work", over_share_worth=float(raw.get("overShareWorth", 1)),
-            reports=() if how == "none" else tuple(REPORTS.get(n, n) for n in names.get("names", [])),
-            tells_delay=bool(domain.get("tellsDelay")),
-            price_cross_zone=float(prices.get("crossZone", 0)), price_probe=float(prices.get("probe", 0)),
-            price_peer=float(prices.get("peer", 0)), price_move=float(prices.get("moves", 0)))
-    except (KeyError, TypeError, AttributeError, ValueError, IndexError, OverflowError) as bad:
-        what = f"missing {bad}" if isinstance(bad, KeyError) else str(bad)
-        raise BadInput(f"profileData: {what}") from None
+        return settings_of(json.loads(text))
+    except ValueError as bad:  # JSONDecodeError is one
+        raise BadInput(f"profileData: {bad}") from None
 
 
 def request_of(f: Fields) -> i.Request:
@@ -260,7 +227,7 @@
             f = fields_of(rest)
             who = number(f, "balancer")
             self.forget(who)
-            self.born[who] = (settings_of(need(f, "profileData")), number(f, "seed"))
+            self.born[who] = (settings_from(need(f, "profileData")), number(f, "seed"))
             self.events[who] = []
             self.order.append(who)
         elif word == "stop":
