--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -30,7 +30,7 @@
 QUIET = 0.58  # what silence says where there are no reports: room enough for the cap to rise
 DRAIN_US = 6 * S  # work piled up at a server takes this long to go
 NOTE_US = 3 * S // 2  # such word comes once a second
-LEAVE_US = 2 * S  # clients of a server that drains are told to move over this time: none is left to be cut off
+LEAVE_US = 2 * S  # clients of a server that drains are told to move over this time, before it cuts them off
 MOVE_AT = 1.0  # above this a server serves hardly any message in time, so open connections are moved
 SAMPLE = 12  # servers known that make the fleet's mean
 # -- AIMD ------------------------------------------------------------------------------------------
