--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -32,44 +32,58 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (want, hard))
 
 
+class Program:
+    """All parts, wired. Tests start it too, with a clock of their own."""
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        self.config, self.clock = config, clock
+        self.decider = Decider(config.settings, config.seed, clock)
+        self.instances = Instances(clock, config.settings.dial_timeout_us / 1000, self.decider.post)
+        self.table = NameTable(config.discovery, clock, self.instances.update,
+                               lambda: self.decider.post(io.ServerList("failed")))
+        self.server = CommandServer(self.decider, self.instances, clock, config.sockets,
+                                    config.measures_delay)
+        self.peers = None
+        self.decider.probe = self.instances.probe
+        if config.peer_listen:
+            self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post)
+            self.decider.tell = self.peers.tell
+        self.tasks: set[asyncio.Task] = set()
+
+    def run(self, work: Coroutine[None, None, None]) -> None:
+        # The loop itself keeps no hold on a task.
+        self.tasks.add(asyncio.get_running_loop().create_task(work))
+
+    async def start(self) -> None:
+        self.table.remember(self.config.known)
+        self.run(self.decider.run())
+        self.run(self.table.run())
+        # Nothing is accepted, and so no PING answered, before there is a list to serve with.
+        async with self.clock.limit(FIRST_LIST_MS):
+            await self.table.first.wait()
+        self.listener = self.server.listen(self.config.listen)
+        self.run(self.server.accept(self.listener))
+        self.run(self.server.sweep())
+        say("ready", f"{self.config.name} serves on {self.config.listen[0]}:{self.config.listen[1]}")
+
+    async def until(self, stop: asyncio.Event) -> None:
+        stopped = asyncio.get_running_loop().create_task(stop.wait())
+        await asyncio.wait([stopped, *self.tasks], return_when=asyncio.FIRST_COMPLETED)
+        for task in self.tasks:
+            if task.done():
+                raise RuntimeError("an actor ended") from task.exception()
+        say("stopping", f"{len(self.server.commands)} clients to hand back")
+        await self.server.hand_back()
+        say("stopped", f"{len(self.server.commands)} clients left")
+
+
 async def serve(config: Config, clock: Clock) -> None:
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-
-    decider = Decider(config.settings, config.seed, clock)
-    instances = Instances(clock, config.settings.dial_timeout_us / 1000, decider.post)
-    table = NameTable(config.discovery, clock, instances.update,
-                      lambda: decider.post(io.ServerList("failed")))
-    server = CommandServer(decider, instances, clock, config.sockets, config.measures_delay)
-    decider.probe = instances.probe
-    if config.peer_listen:
-        decider.tell = Peers(config.peer_listen, config.peers, config.peers_all, decider.post).tell
-
-    tasks: set[asyncio.Task] = set()
-
-    def start(work: Coroutine[None, None, None]) -> None:
-        task = loop.create_task(work)
-        tasks.add(task)  # the loop itself keeps no hold on a task
-
-    table.remember(config.known)
-    start(decider.run())
-    start(table.run())
-    # Nothing is accepted, and so no PING answered, before there is a list to serve with.
-    async with clock.limit(FIRST_LIST_MS):
-        await table.first.wait()
-    start(server.accept(server.listen(config.listen)))
-    start(server.sweep())
-    say("ready", f"{config.name} serves on {config.listen[0]}:{config.listen[1]}")
-    stopped = loop.create_task(stop.wait())
-    await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
-    for task in tasks:
-        if task.done():
-            raise RuntimeError("an actor ended") from task.exception()
-    say("stopping", f"{len(server.commands)} clients to hand back")
-    await server.hand_back()
-    say("stopped", f"{len(server.commands)} clients left")
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    program = Program(config, clock)
+    await program.start()
+    await program.until(stop)
 
 
 def main() -> int:
--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -26,6 +26,7 @@
 SILENT_MS = 4500.0  # a client line unanswered this long: its instance is out of reach (7 s is the rule)
 STANDING_MS = 38_000.0  # a standing connection is lost when it is not up after 40 s
 AGAIN_MS = 250.0  # between two tries for one
+GUARD_MS = 20.0  # a command that has no decision this long after its time is failed; 58 ms are allowed
 SWEEP_MS = 250.0
 NOTE_MS = 1000.0  # word of slow messages at an instance, at most this often
 BUFFER = 8192
@@ -120,8 +121,8 @@
             if standing is not None:
                 self.launch(standing, STANDING_MS, True)
             else:
-                # Guards against a module that failed: its own timer answers some milliseconds earlier.
-                guard = self.clock.call_at(self.deadline, self.mailbox.put, Ended.OVERDUE)
+                # Guards against a module that failed: its own timer answers some milliseconds before `d`.
+                guard = self.clock.call_at(self.deadline + GUARD_MS, self.mailbox.put, Ended.OVERDUE)
                 if not self.decider.post(self.request()):
                     self.over = True
                     self.nack(1000.0)
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -26,14 +26,15 @@
     """httptools' callbacks for one HTTP answer."""
 
     def __init__(self) -> None:
-        self.body, self.whole = bytearray(), False
+        self.body, self.whole, self.keep = bytearray(), False, False
         self.parser = httptools.HttpResponseParser(self)
 
     def on_body(self, data: bytes) -> None:
         self.body += data
 
     def on_message_complete(self) -> None:
-        self.whole = True
+        # Asked here: afterwards the parser has forgotten, and each watch would take a new connection.
+        self.whole, self.keep = True, self.parser.should_keep_alive()
 
 
 def rows_of(raw: dict[str, Any]) -> tuple[int, bool, list[Entry]]:
@@ -107,7 +108,7 @@
             answer.parser.feed_data(bytes(buffer[:count]))
             if len(answer.body) > LARGEST:
                 raise OSError("the answer is too large")
-        if not answer.parser.should_keep_alive():
+        if not answer.keep:
             self.hang_up()
         if answer.parser.get_status_code() != 200:
             self.index = None  # perhaps it no longer knows that version: start from the whole list
