--- a/glenrock/config.py
+++ b/glenrock/config.py
@@ -44,10 +44,10 @@
     return host, int(port)
 
 
-def typed(raw: Any, key: str, kind: type, default: Any) -> Any:
+def typed(raw: Any, key: str, kind: type, default: Any, inside: str = "") -> Any:
     value = raw.get(key, default)
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise ConfigError(f"{key}: expected {kind.__name__}, got {value!r}")
+        raise ConfigError(f"{inside}{key}: expected {kind.__name__}, got {value!r}")
     return value
 
 
@@ -82,7 +82,7 @@
     except ValueError as bad:
         raise ConfigError(f"settings: {bad}") from None
     limits = typed(raw, "limits", dict, {})
-    sockets = typed(limits, "sockets", int, SOCKETS)
+    sockets = typed(limits, "sockets", int, SOCKETS, "limits.")
     if sockets < 64:
         raise ConfigError(f"limits.sockets: at least 64 are needed, got {sockets}")
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -31,9 +31,10 @@
 NOTE_MS = 1000.0  # word of slow messages at an instance, at most this often
 BUFFER = 8192
 MAIL = 32  # messages that may wait for one command
-RESERVE = 40  # descriptors kept for everything but commands
+RESERVE = 40  # descriptors kept for everything but commands, besides one probe connection an instance
 QUIET_MS = 450.0  # after SIGTERM new connections still come this long; one moved now would come back here
 KILL_MS = 700.0  # SIGKILL comes this long after the longest deadline, or later
+LONGEST_MS = 3000.0  # and a deadline longer than this counts as this
 
 
 class Ended(Enum):
@@ -207,6 +208,9 @@
         try:
             while count or (count := await loop.sock_recv_into(self.sock, buffer)):
                 await self.up.wait()
+                if self.execution.sock is None:  # the instance's side is closed: only the client's end counts
+                    count = 0
+                    continue
                 if self.asked_at is None and b"\n" in buffer[:count]:
                     self.asked_at = self.clock.now()
                 try:
@@ -355,7 +359,7 @@
     def __init__(self, decider: Decider, instances: Instances, clock: Clock, sockets: int,
                  measures_delay: bool) -> None:
         self.decider, self.instances, self.clock = decider, instances, clock
-        self.most = (sockets - RESERVE) // 2
+        self.sockets = sockets
         self.open = 0  # client connections
         self.commands: dict[str, Command] = {}
         decider.commands = self.commands
@@ -421,7 +425,7 @@
         if opened is None or opened.id in self.commands:
             say("first line", f"not understood: {line[:80]!r}")
             await self.turn_away(sock, lines.FAILED)
-        elif self.open > self.most:
+        elif 2 * self.open > self.sockets - RESERVE - len(self.instances.all):
             say("descriptors", f"{self.open} connections: nacked")
             await self.turn_away(sock, lines.nack(500 + 500 * random.random()))
         else:
@@ -465,7 +469,7 @@
         """After SIGTERM: goes on accepting, moves the clients over the time there is, and holds nothing when
         SIGKILL comes."""
         began = self.clock.now()
-        longest = max(c.deadline_us for c in self.decider.balancer.set.classes) / 1000
+        longest = min(LONGEST_MS, max(c.deadline_us for c in self.decider.balancer.set.classes) / 1000)
         until = began + longest + KILL_MS - 500
         await self.clock.sleep(QUIET_MS)
         while self.commands and (now := self.clock.now()) < until:
--- a/glenrock/net/instance.py
+++ b/glenrock/net/instance.py
@@ -119,6 +119,9 @@
             outcome = Outcome(End.WITHDRAWN, x.reach)
         except OSError:
             outcome = Outcome(End.BROKEN, x.reach)
+        except Exception as bad:  # the command must hear of an end, whatever went wrong
+            say("execution", f"{self.entry.name}: {bad!r}")
+            outcome = Outcome(End.BROKEN, x.reach)
         if outcome.end is not End.UP and x.sock:
             # Guards against a second copy: the socket is closed before the module hears of the end.
             end(x.sock)
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -19,6 +19,7 @@
 WAIT_MS = 10_000  # a watch waits this long for news
 GRACE_MS = 1500  # and its answer may take this much longer
 FIRST_MS = 1000
+SOON_MS = 50  # the next call is due within 200 ms of an answer
 LARGEST = 4 << 20  # bytes of an answer
 
 
@@ -69,7 +70,7 @@
             try:
                 await self.call()
                 self.failures = 0
-            except (OSError, ValueError, TypeError, KeyError, httptools.HttpParserError) as bad:
+            except Exception as bad:  # whatever discovery sends, the last list goes on serving
                 self.hang_up()
                 self.failures += 1
                 self.failed()
@@ -79,6 +80,7 @@
 
     async def call(self) -> None:
         query = f"?index={self.index}&wait={WAIT_MS}" if self.index is not None else ""
+        began = self.clock.now()
         limit_ms = WAIT_MS + GRACE_MS if query else FIRST_MS
         async with self.clock.limit(limit_ms) as limit:
             raw = await self.get(f"/discovery/hosts{query}")
@@ -88,6 +90,8 @@
         # The index is taken only with its rows, and the next call follows at once: within 200 ms it
         # continues the watch, later it would start a new one.
         self.index = index
+        if not rows and self.clock.now() - began < SOON_MS:
+            await self.clock.sleep(SOON_MS)  # a discovery that does not wait must not take all our CPU
         if rows or snapshot:
             self.update("full" if snapshot else "changes", rows)
         self.first.set()
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,43 @@
+"""A faulty configuration is told in one line that names the key."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from glenrock.config import ConfigError, check
+from wheatrouter import interface as io
+
+ROOT = Path(__file__).resolve().parent.parent
+GOOD = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
+        "settings": {"classes": [{"name": "c", "targetUs": 1000, "deadlineUs": 2000}],
+                     "report": {"how": "probe", "names": ["utilization", "backlog", "x0"]},
+                     "domain": {"tellsDelay": True}}}
+
+
+class Configuration(unittest.TestCase):
+    def test_faults_name_their_key(self) -> None:
+        for key, value in (("listen", "nowhere"), ("discovery", "h:99999"), ("seed", "xyz"), ("peers", "a:1"),
+                           ("peers", ["a"]), ("limits", {"sockets": 3}), ("limits", {"sockets": "many"}),
+                           ("settings", {}), ("settings", {"classes": []}), ("known", [])):
+            with self.subTest(key=key, value=value), self.assertRaisesRegex(ConfigError, key):
+                check({**GOOD, key: value})
+
+    def test_reports_go_by_the_modules_names_and_silence_is_no_good_news(self) -> None:
+        config = check(GOOD)
+        self.assertEqual(config.settings.reports, (io.UTILIZATION, "backlog", io.LOAD_RATIO))
+        self.assertEqual((config.settings.tells_delay, config.measures_delay), (False, True))
+
+    def test_the_program_exits_2_without_a_traceback(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps({**GOOD, "listen": "nowhere"}))
+            done = subprocess.run([sys.executable, "-B", "-m", "glenrock"], cwd=ROOT, capture_output=True,
+                                  text=True, timeout=30, env={**os.environ, "LB_CONFIG": str(path)})
+        self.assertEqual(done.returncode, 2)
+        self.assertEqual(done.stderr, "glenrock: listen: expected host:port, got 'nowhere'\n")
