Ask instances for their load only above the quiet load

Checked: the price of probes. Changed: rules.py round() asks only where the fleet or the server's own estimate is above QUIET.

--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -697,7 +697,8 @@
             self.probe(self.ring.at(self.rng.getrandbits(64)))
         if not self.set.tells_delay:  # nobody says that a server is slow, so each that holds ours is asked
             for s in self.servers.values():
-                if s.held and s.ready and self.now - s.load_at > FRESH_US:
+                stale = s.held and s.ready and self.now - s.load_at > FRESH_US
+                if stale and max(self.fleet, self.estimate(s)) > QUIET:  # a calm fleet is not worth the price
                     self.probe(s)
         for id_ in list(self.held):
             self.held.pop(id_)
