Reset a client rather than write MOVE inside a line

Read through: relay() sent MOVE after 0.5 s without a line end (command.py, Ended.OVERDUE), which the client would read as part of that line.

--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -274,7 +274,9 @@
                 if isinstance(mail, Move):
                     self.begin_move(mail.verdict)
                 elif mail is Ended.OVERDUE and self.moving:
-                    await self.hand_back()  # no line end came: the client is told all the same
+                    # No line end came. Within a line MOVE would be read as part of it: a reset instead.
+                    whole = self.idle and self.splitter.between
+                    await self.end_with(Ended.BETWEEN_LINES if whole else Ended.INSTANCE_RST)
                     return
                 elif isinstance(mail, Ended) and mail is not Ended.OVERDUE:
                     await self.end_with(mail)
