Read the configuration again on SIGHUP and move discovery to its new address

Checked: 129 is death by SIGHUP; __main__.py set handlers for SIGTERM and SIGINT only, and NameTable kept the address of the start. Read off the code and shown by a test: LB_DISCOVERY won over the file for good, so a mere re-read would have stayed at the old address (config.read). At fault: serve() in __main__.py, read() in config.py, NameTable.run. Now: a handler from the first moment on; config.read is used again, a faulty file is told in a line; discovery, peers, peers_all and limits.sockets are taken over live, the rest is named in a line. The name table leaves the old address at once and asks the new one for its whole list. Ruled out: dropping the rows until the new list is there; they go on serving.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import os
 import resource
 import signal
 import sys
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
 
 import uvloop
 
 from wheatrouter import interface as io
 
-from .config import Config, ConfigError, read
+from .config import AT_START, Config, ConfigError, read
 from .log import say
 from .net.clock import Clock
 from .net.command import CommandServer
@@ -37,6 +39,7 @@
 
     def __init__(self, config: Config, clock: Clock) -> None:
         self.config, self.clock = config, clock
+        self.begun = config  # what it started with
         self.decider = Decider(config.settings, config.seed, clock)
         self.instances = Instances(clock, config.settings.dial_timeout_us / 1000, self.decider.post)
         self.table = NameTable(config.discovery, clock, self.instances.update,
@@ -66,6 +69,25 @@
         self.run(self.server.sweep())
         say("ready", f"{self.config.name} serves on {self.config.listen[0]}:{self.config.listen[1]}")
 
+    def reload(self, again: Callable[[Config], Config]) -> None:
+        """Takes over what can change while clients are connected. A faulty file leaves all as it is."""
+        try:
+            new = again(self.begun)
+        except ConfigError as bad:
+            say("config", f"{bad}; the old configuration stays")
+            return
+        waits = [key for key in AT_START if getattr(new, key) != getattr(self.config, key)]
+        if waits:
+            say("config", f"{', '.join(waits)}: changed, but taken over only at the next start")
+        self.table.move(new.discovery)
+        if self.peers:
+            self.peers.move(new.peers, new.peers_all)
+        raise_limit(new.sockets)
+        self.server.sockets = new.sockets
+        self.config = replace(self.config, discovery=new.discovery, peers=new.peers, peers_all=new.peers_all,
+                              sockets=new.sockets)
+        say("config", f"read again: discovery is at {new.discovery[0]}:{new.discovery[1]}")
+
     async def until(self, stop: asyncio.Event) -> None:
         stopped = asyncio.get_running_loop().create_task(stop.wait())
         await asyncio.wait([stopped, *self.tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -77,16 +99,24 @@
         say("stopped", f"{len(self.server.commands)} clients left")
 
 
-async def serve(config: Config, clock: Clock) -> None:
+async def serve(config: Config, clock: Clock, early: list[int]) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     program = Program(config, clock)
+    again = functools.partial(program.reload, functools.partial(read, os.environ))
+    loop.add_signal_handler(signal.SIGHUP, again)
+    if early:  # the file may have changed after it was read
+        again()
     await program.start()
     await program.until(stop)
 
 
 def main() -> int:
+    # Danger: without a handler SIGHUP ends the program, and its clients with it. So there is one from the
+    # first moment on, and what comes before the loop runs is made up for.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read(os.environ)
     except ConfigError as bad:
@@ -94,7 +124,7 @@
         return 2
     raise_limit(config.sockets)
     try:
-        uvloop.run(serve(config, Clock()))
+        uvloop.run(serve(config, Clock(), early))
     except OSError as bad:
         print(f"glenrock: {bad}", file=sys.stderr)
         return 1
--- a/glenrock/config.py
+++ b/glenrock/config.py
@@ -1,13 +1,14 @@
 """The one place where configuration is read, checked and given defaults.
 
-LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it.
+LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it. The file may be
+read again while the program runs: then a key that it has changed wins over the variable.
 """
 
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from wheatrouter.interface import Settings
@@ -35,6 +36,11 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    filed: Mapping[str, Any] = field(default_factory=dict)  # of VARIABLES, what the file itself says
+
+
+VARIABLES = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
+AT_START = ("name", "listen", "peer_listen", "settings", "measures_delay")  # not taken over live
 
 
 def address_of(value: Any, key: str) -> Address:
@@ -58,7 +64,8 @@
         raise ConfigError(f"seed: expected hex digits, got {value!r}") from None
 
 
-def read(env: Mapping[str, str]) -> Config:
+def read(env: Mapping[str, str], begun: Config | None = None) -> Config:
+    """The configuration as it is now; `begun` is the one that a running program started with."""
     path = env.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG: not set; it names the configuration file")
@@ -69,8 +76,12 @@
         raise ConfigError(f"LB_CONFIG: cannot read {path}: {bad}") from None
     if not isinstance(raw, dict):
         raise ConfigError("LB_CONFIG: expected a JSON object")
-    return check({**raw, **{key: env[var] for key, var in (
-        ("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY")) if env.get(var)}})
+    filed = {key: raw[key] for key in VARIABLES if key in raw}
+    # Danger: a variable is as old as the start. One that always won would pin a running program to the
+    # address that it started with, whatever the new file says.
+    stands = {key: env[var] for key, var in VARIABLES.items() if env.get(var) and (
+        begun is None or key not in filed or filed[key] == begun.filed.get(key))}
+    return replace(check({**raw, **stands}), filed=filed)
 
 
 def check(raw: dict[str, Any]) -> Config:
--- a/glenrock/net/clock.py
+++ b/glenrock/net/clock.py
@@ -81,8 +81,9 @@
         return self
 
     def stop(self) -> None:
-        self.over = True
-        self.task.cancel()
+        if not self.over:  # a second cancellation would get through
+            self.over = True
+            self.task.cancel()
 
     async def __aexit__(self, kind: type | None, *rest: object) -> bool:
         self.handle.cancel()
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import httptools
 
 from ..config import Address
 from ..log import say
-from .clock import Clock
+from .clock import Clock, Limit
 from .instance import Entry, end, row_of, tune
 
 WAIT_MS = 10_000  # a watch waits this long for news
 GRACE_MS = 1500  # and its answer may take this much longer
 FIRST_MS = 1000
 SOON_MS = 50  # the next call is due within 200 ms of an answer
+LONGEST_WAIT_MS = 1000.0  # between two calls while they fail; it must be found again within 4 s of a move
 LARGEST = 4 << 20  # bytes of an answer
 
 
@@ -53,6 +55,7 @@
                  failed: Callable[[], None]) -> None:
         self.address, self.clock, self.update, self.failed = address, clock, update, failed
         self.sock: socket.socket | None = None
+        self.limit: Limit | None = None  # of what the actor waits for now
         self.index: int | None = None
         self.failures = 0
         self.first = asyncio.Event()  # set when discovery has been heard once
@@ -65,33 +68,54 @@
             say("name table", f"known: not a list ({bad!r}); starting without")
             self.update("remembered", [])
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere from now on. The list held serves until the new one has answered."""
+        if address == self.address:
+            return
+        # The old one may hold its answer back for seconds, or fall silent: nothing more is awaited there. No
+        # version of its own means anything elsewhere, so the whole list is asked for.
+        self.address, self.index, self.failures = address, None, 0
+        if self.limit:
+            self.limit.stop()
+
+    async def within(self, ms: float, work: Coroutine[None, None, Any]) -> Any:
+        """The work's result; OSError if it took longer, or if discovery moved meanwhile."""
+        async with self.clock.limit(ms) as self.limit:
+            try:
+                return await work
+            finally:
+                self.limit = None
+        raise OSError("no answer in time")
+
     async def run(self) -> None:
         while True:
+            address = self.address
             try:
                 await self.call()
                 self.failures = 0
             except Exception as bad:  # whatever discovery sends, the last list goes on serving
                 self.hang_up()
+                if address != self.address:
+                    continue
                 self.failures += 1
                 self.failed()
-                wait = min(2000.0, 50.0 * 2 ** min(self.failures, 6)) * (0.5 + random.random() / 2)
+                wait = min(LONGEST_WAIT_MS, 50.0 * 2 ** min(self.failures, 6)) * (0.5 + random.random() / 2)
                 say("name table", f"call failed ({bad!r}); again in {wait:.0f} ms")
-                await self.clock.sleep(wait)
+                with contextlib.suppress(OSError):
+                    await self.within(wait, self.clock.sleep(wait * 2))
 
     async def call(self) -> None:
         query = f"?index={self.index}&wait={WAIT_MS}" if self.index is not None else ""
         began = self.clock.now()
         limit_ms = WAIT_MS + GRACE_MS if query else FIRST_MS
-        async with self.clock.limit(limit_ms) as limit:
-            raw = await self.get(f"/discovery/hosts{query}")
-        if limit.over:
-            raise OSError("no answer in time")
+        raw = await self.within(limit_ms, self.get(f"/discovery/hosts{query}"))
         index, snapshot, rows = rows_of(raw)
         # The index is taken only with its rows, and the next call follows at once: within 200 ms it
         # continues the watch, later it would start a new one.
         self.index = index
         if not rows and self.clock.now() - began < SOON_MS:
-            await self.clock.sleep(SOON_MS)  # a discovery that does not wait must not take all our CPU
+            # A discovery that does not wait must not take all our CPU.
+            await self.within(2 * SOON_MS, self.clock.sleep(SOON_MS))
         if rows or snapshot:
             self.update("full" if snapshot else "changes", rows)
         self.first.set()
--- a/glenrock/net/peers.py
+++ b/glenrock/net/peers.py
@@ -21,13 +21,18 @@
 class Peers:
     def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
                  post: Callable[[io.Event], bool]) -> None:
-        self.index = {address: n for n, address in enumerate(peers)}
-        self.peers, self.everyone, self.post = peers, everyone, post
+        self.post = post
+        self.move(peers, everyone)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.sock.bind(listen)
         asyncio.get_running_loop().add_reader(self.sock, self.receive)
 
+    def move(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
+        """The other balancers' addresses, in the order of their numbers."""
+        self.index = {address: n for n, address in enumerate(peers)}
+        self.peers, self.everyone = peers, everyone
+
     def receive(self) -> None:
         for _ in range(AT_ONCE):
             try:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,13 +4,14 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
 import unittest
 from pathlib import Path
 
-from glenrock.config import ConfigError, check
+from glenrock.config import ConfigError, check, read
 from wheatrouter import interface as io
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -33,6 +34,46 @@
         self.assertEqual(config.settings.reports, (io.UTILIZATION, "backlog", io.LOAD_RATIO))
         self.assertEqual((config.settings.tells_delay, config.measures_delay), (False, True))
 
+    def test_read_again_a_changed_key_wins_over_its_variable(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            env = {"LB_CONFIG": str(path), "LB_DISCOVERY": "127.0.0.1:2"}
+            path.write_text(json.dumps(GOOD))
+            begun = read(env)
+            self.assertEqual(read(env, begun).discovery, ("127.0.0.1", 2))
+            path.write_text(json.dumps({**GOOD, "discovery": "127.0.0.1:3"}))
+            self.assertEqual(read(env, begun).discovery, ("127.0.0.1", 3))
+
+    def test_sighup_at_any_time_ends_nothing(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps({**GOOD, "listen": "127.0.0.1:0"}))
+            program = subprocess.Popen([sys.executable, "-B", "-m", "glenrock"], cwd=ROOT, text=True,
+                                       stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(path)})
+
+            def until(words: str) -> None:
+                for line in program.stderr:
+                    if words in line:
+                        return
+                self.fail(f"ended without {words!r}")
+
+            try:
+                until("name table: call failed")  # not ready yet
+                program.send_signal(signal.SIGHUP)
+                until("config: read again: discovery is at 127.0.0.1:2")
+                until("ready")
+                path.write_text("{")
+                program.send_signal(signal.SIGHUP)
+                until("the old configuration stays")
+                program.send_signal(signal.SIGTERM)
+                program.send_signal(signal.SIGHUP)
+                until("stopped")
+                self.assertEqual(program.wait(10), 0)
+            finally:
+                program.kill()
+                program.wait()
+                program.stderr.close()
+
     def test_the_program_exits_2_without_a_traceback(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -56,7 +56,7 @@
     def __init__(self, names: list[str]) -> None:
         self.names, self.ports, self.clock = names, {}, SetClock()
         self.ends: dict[str, Ends] = {}
-        self.accepted: dict[str, list] = {name: [] for name in [*names, "discovery"]}
+        self.accepted: dict[str, list] = {name: [] for name in [*names, "discovery", "elsewhere"]}
         self.anywhere: list[Ends] = []
         self.stops: asyncio.Task | None = None
 
@@ -68,7 +68,7 @@
         for name, held in self.accepted.items():
             def on(reader, writer, held=held):
                 held.append(Ends(reader, writer))
-                if held is not self.accepted["discovery"]:
+                if held is not self.accepted["discovery"] and held is not self.accepted["elsewhere"]:
                     self.anywhere.append(held[-1])
             server = await asyncio.start_server(on, "127.0.0.1", 0)
             self.ports[name] = server.sockets[0].getsockname()[1]
@@ -102,14 +102,15 @@
                 self.ends[who] = Ends(*await asyncio.open_connection("127.0.0.1", self.port))
         return self.ends[who]
 
-    def answer(self, body: dict) -> None:
+    def answer(self, body: dict, who: str = "discovery") -> None:
         text = json.dumps(body).encode()
-        self.ends["discovery"].send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        self.ends[who].send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
 
     async def expect(self, who: str, pattern: str) -> None:
         got = await (await self.end(who)).line()
-        while who == "discovery" and not got.startswith("GET") and not self.ends[who].reader.at_eof():
-            got = await self.ends[who].line()
+        if who in ("discovery", "elsewhere"):
+            while got and not got.startswith("GET") or not got and not self.ends[who].reader.at_eof():
+                got = await self.ends[who].line()
         if not fnmatch.fnmatchcase(got, pattern):
             raise AssertionError(f"{who} got {got!r}, not {pattern!r}")
 
@@ -127,6 +128,13 @@
     async def play(self, who: str, what: str, text: str) -> None:
         if who == "clock":
             await self.advance(float(text))
+        elif what == "HUP":
+            new = {"listen": "127.0.0.1:0", "settings": SETTINGS, **json.loads(text),
+                   "discovery": f"127.0.0.1:{self.ports['elsewhere']}"}
+            self.program.reload(lambda begun: check(new))
+        elif what == "lists":
+            rows = [self.row(*part.split("=")) for part in text.split()]
+            self.answer({"index": 2, "snapshot": True, "endpoints": rows}, who)
         elif who == "signal":
             stop = asyncio.Event()
             stop.set()
