Check first lines in full within 2 s and shed silent connections, oldest first

Checked in the logs: sound clients were nacked by `descriptors` lines while 400 to 600 silent connections were open. At fault in CommandServer: `open` counted every connection as a relay of two descriptors; FIRST_LINE_MS was 10 s; sock_accept returns without a turn of the loop while connections are pending, so nothing bounded a burst. parse_open took unknown classes and tenants, whatever int() and float() take, and passed on pipelined lines. Now: net/entrance.py takes connections until they have a command, in a room of their own; each field is checked against the settings; bytes before the answer fail a command; a turned-away client has 64 KiB and 1 s left.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -20,6 +20,7 @@
 from .net.clock import Clock
 from .net.command import CommandServer
 from .net.decider import Decider
+from .net.entrance import Entrance
 from .net.instance import Instances
 from .net.name_table import NameTable
 from .net.peers import Peers
@@ -46,6 +47,7 @@
                                lambda: self.decider.post(io.ServerList("failed")))
         self.server = CommandServer(self.decider, self.instances, clock, config.sockets,
                                     config.measures_delay)
+        self.entrance = Entrance(self.server, clock)
         self.peers = None
         self.decider.probe = self.instances.probe
         if config.peer_listen:
@@ -64,8 +66,8 @@
         # Nothing is accepted, and so no PING answered, before there is a list to serve with.
         async with self.clock.limit(FIRST_LIST_MS):
             await self.table.first.wait()
-        self.listener = self.server.listen(self.config.listen)
-        self.run(self.server.accept(self.listener))
+        self.listener = self.entrance.listen(self.config.listen)
+        self.run(self.entrance.accept(self.listener))
         self.run(self.server.sweep())
         say("ready", f"{self.config.name} serves on {self.config.listen[0]}:{self.config.listen[1]}")
 
--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -1,37 +1,35 @@
-"""The client side: connections accepted, first lines, answers, relays."""
+"""Commands: a client from its first line to its end, and the table of them all."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import random
 import socket
-import traceback
 from dataclasses import dataclass
 from enum import Enum
 
 from wheatrouter import interface as io
 
-from ..config import Address
 from ..log import say
 from . import lines
 from .clock import Clock, micros
 from .decider import Decider
+from .entrance import FEW, LINGER_MS
 from .errors import End, Outcome, Reach
-from .instance import Execution, Instances, end, tune
+from .instance import Execution, Instances, end
 from .mailbox import Mailbox
 
-FIRST_LINE_MS = 10_000.0  # a connection that says nothing this long is closed
-LINGER_MS = 1000.0  # the other side has this long to end what this side has ended
 SILENT_MS = 4500.0  # a client line unanswered this long: its instance is out of reach (7 s is the rule)
 STANDING_MS = 38_000.0  # a standing connection is lost when it is not up after 40 s
+UNKNOWN_MS = 2000.0  # where one stands at an instance that nobody knows, its client is owed a word within 3 s
 AGAIN_MS = 250.0  # between two tries for one
 GUARD_MS = 20.0  # a command that has no decision this long after its time is failed; 58 ms are allowed
 SWEEP_MS = 250.0
 NOTE_MS = 1000.0  # word of slow messages at an instance, at most this often
 BUFFER = 8192
 MAIL = 32  # messages that may wait for one command
-RESERVE = 40  # descriptors kept for everything but commands, besides one probe connection an instance
+RESERVE = 24  # descriptors kept for everything but clients, besides one probe connection an instance
+WAITS = 10.0  # a client that wants to wait this many times its class's deadline sent no sound number
 QUIET_MS = 450.0  # after SIGTERM new connections still come this long; one moved now would come back here
 KILL_MS = 700.0  # SIGKILL comes this long after the longest deadline, or later
 LONGEST_MS = 3000.0  # and a deadline longer than this counts as this
@@ -42,10 +40,14 @@
     CLIENT_RST = "client rst"
     INSTANCE_FIN = "instance fin"
     INSTANCE_RST = "instance rst"
+    TOO_EARLY = "bytes before the answer"
     BETWEEN_LINES = "ready to move"
     OVERDUE = "overdue"
 
 
+CLIENT_ENDS = (Ended.CLIENT_FIN, Ended.CLIENT_RST, Ended.TOO_EARLY)
+
+
 @dataclass(frozen=True)
 class Answered:
     execution: Execution
@@ -60,9 +62,9 @@
 class Command:
     """One client connection from its first line to its end: an actor. It alone closes its sockets."""
 
-    def __init__(self, server: CommandServer, sock: socket.socket, opened: lines.Open, rest: bytes) -> None:
+    def __init__(self, server: CommandServer, sock: socket.socket, opened: lines.Open) -> None:
         self.server, self.clock, self.decider = server, server.clock, server.decider
-        self.sock, self.opened, self.rest = sock, opened, rest
+        self.sock, self.opened = sock, opened
         self.arrived = self.clock.now()
         self.deadline = self.arrived + opened.wait_ms
         self.mailbox = Mailbox(MAIL)
@@ -153,6 +155,10 @@
                 if isinstance(mail, Ended):
                     if standing is None:
                         self.gone()
+                    if mail is Ended.TOO_EARLY:
+                        say("first line", f"{self.opened.id} sent bytes before its answer: failed")
+                        await self.abandon()
+                        await self.finish(lines.FAILED)
                     return False
                 if isinstance(mail, Answered) and mail.execution is self.execution:
                     if mail.outcome.end is End.UP:
@@ -160,7 +166,8 @@
                         return True
                     if standing is None:
                         self.report(mail.outcome.verdict, False, mail.outcome.report)
-                    elif self.clock.now() > self.arrived + STANDING_MS:
+                    elif self.clock.now() > self.arrived + (
+                            STANDING_MS if self.server.instances.get(standing) else UNKNOWN_MS):
                         await self.finish(lines.FAILED)
                         return False
                     else:
@@ -196,20 +203,22 @@
 
     async def client_end(self) -> None:
         while True:
-            if any(m in (Ended.CLIENT_FIN, Ended.CLIENT_RST) for m in await self.mailbox.take()):
+            if any(m in CLIENT_ENDS for m in await self.mailbox.take()):
                 return
 
     # -- the relay -----------------------------------------------------------------------------------
 
     async def pump_up(self, loop: asyncio.AbstractEventLoop) -> None:
         """Client to instance; before UP it only notices the client's end."""
-        buffer, ended, count = bytearray(BUFFER), Ended.CLIENT_FIN, len(self.rest)
-        buffer[:count] = self.rest
+        buffer, ended = bytearray(BUFFER), Ended.CLIENT_FIN
         try:
-            while count or (count := await loop.sock_recv_into(self.sock, buffer)):
-                await self.up.wait()
+            while count := await loop.sock_recv_into(self.sock, buffer):
+                if not self.up.is_set():
+                    # A client waits for its answer. What it sends before must never reach an instance: it
+                    # would be read there as a first line, or as one of another command.
+                    ended = Ended.TOO_EARLY
+                    return
                 if self.execution.sock is None:  # the instance's side is closed: only the client's end counts
-                    count = 0
                     continue
                 if self.asked_at is None and b"\n" in buffer[:count]:
                     self.asked_at = self.clock.now()
@@ -218,7 +227,6 @@
                 except OSError:
                     ended = None  # the instance's end is told by the other pump
                     return
-                count = 0
         except OSError:
             ended = Ended.CLIENT_RST
         finally:
@@ -311,7 +319,7 @@
             self.tell_end("broken")
             await self.stop_pumps(0)
             end(self.sock, reset=True)
-        elif mail is Ended.CLIENT_RST:
+        elif mail in (Ended.CLIENT_RST, Ended.TOO_EARLY):
             self.tell_end("cancelled")
             await self.stop_pumps(0)
             self.close_instance(reset=True)
@@ -347,104 +355,54 @@
 
     async def close(self) -> None:
         await self.stop_pumps(0)
+        await self.abandon()
+        self.close_instance()
+        end(self.sock)
+
+    async def abandon(self) -> None:
         x = self.execution
         if x and not self.up.is_set() and x.task and not x.task.done():
             x.withdraw()
             await asyncio.wait([x.task])
-        self.close_instance()
-        end(self.sock)
 
 
 class CommandServer:
-    """Accepts clients, keeps the table of commands, watches for silent instances, hands all back."""
+    """Keeps the table of commands, watches for silent instances, hands all back."""
 
     def __init__(self, decider: Decider, instances: Instances, clock: Clock, sockets: int,
                  measures_delay: bool) -> None:
         self.decider, self.instances, self.clock = decider, instances, clock
         self.sockets = sockets
-        self.open = 0  # client connections
         self.commands: dict[str, Command] = {}
         decider.commands = self.commands
-        self.tasks: set[asyncio.Task] = set()
-        self.draining = False
         settings = decider.balancer.set
+        self.known = lines.Known({c.name: WAITS * c.deadline_us / 1000 for c in settings.classes},
+                                 frozenset(t.name for t in settings.tenants))
         aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
         self.slow_ms = min(aims) / 3000 if aims and measures_delay else 0.0
         self.noted: dict[str, float] = {}  # instances whose messages were slow, and when that was told
 
-    def listen(self, address: Address) -> socket.socket:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(4096)
-        return sock
+    def knows(self, id_: str) -> bool:
+        return id_ in self.commands
 
-    async def accept(self, listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(listener)
-            except OSError as bad:
-                # Out of descriptors, or a client that left at once: the listener must outlive both.
-                say("accept", str(bad))
-                await self.clock.sleep(20)
-                continue
-            task = loop.create_task(self.connection(sock))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def connection(self, sock: socket.socket) -> None:
-        self.open += 1
+    def free(self) -> int:
+        """Descriptors that neither commands nor the program's other parts need: a relay takes two."""
+        return self.sockets - RESERVE - len(self.instances.all) - 2 * len(self.commands)
+
+    def full(self) -> bool:
+        return self.free() < 2 + FEW
+
+    def room(self) -> int:
+        """Connections that may be open without a command."""
+        return max(FEW, min(self.free(), self.sockets // 4))
+
+    async def serve(self, sock: socket.socket, opened: lines.Open) -> None:
+        command = self.commands[opened.id] = Command(self, sock, opened)
         try:
-            tune(sock)
-            await self.serve(sock)
-        except OSError:
-            pass
-        except Exception:
-            say("connection", traceback.format_exc(limit=-3))
+            await command.run()
         finally:
-            self.open -= 1
-            sock.close()
-
-    async def serve(self, sock: socket.socket) -> None:
-        loop, data = asyncio.get_running_loop(), b""
-        buffer = bytearray(lines.LONGEST)
-        while True:
-            async with self.clock.limit(FIRST_LINE_MS) as limit:
-                while b"\n" not in data and len(data) < lines.LONGEST:
-                    count = await loop.sock_recv_into(sock, buffer)
-                    if not count:
-                        return
-                    data += buffer[:count]
-            if limit.over:
-                return
-            line, newline, data = data.partition(b"\n")
-            if line + newline != lines.PING:
-                break
-            await loop.sock_sendall(sock, lines.PONG)
-        opened = lines.parse_open(line + newline) if newline and len(line) < lines.LONGEST else None
-        if opened is None or opened.id in self.commands:
-            say("first line", f"not understood: {line[:80]!r}")
-            await self.turn_away(sock, lines.FAILED)
-        elif 2 * self.open > self.sockets - RESERVE - len(self.instances.all):
-            say("descriptors", f"{self.open} connections: nacked")
-            await self.turn_away(sock, lines.nack(500 + 500 * random.random()))
-        else:
-            command = self.commands[opened.id] = Command(self, sock, opened, data)
-            try:
-                await command.run()
-            finally:
-                command.gone()
-                del self.commands[opened.id]
-
-    async def turn_away(self, sock: socket.socket, line: bytes) -> None:
-        loop, buffer = asyncio.get_running_loop(), bytearray(lines.LONGEST)
-        async with self.clock.limit(LINGER_MS):
-            await loop.sock_sendall(sock, line)
-            sock.shutdown(socket.SHUT_WR)
-            while await loop.sock_recv_into(sock, buffer):
-                pass
+            command.gone()
+            del self.commands[opened.id]
 
     def took(self, command: Command, ms: float) -> None:
         """A message's time at an instance: told while it is slow, and once when it no longer is."""
--- /dev/null
+++ b/glenrock/net/entrance.py
@@ -0,0 +1,154 @@
+"""Clients before their command: connections accepted, first lines read, whoever can't be read turned away."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import traceback
+from typing import Protocol
+
+from ..config import Address
+from ..log import say
+from . import lines
+from .clock import Clock
+from .instance import tune
+
+FIRST_LINE_MS = 2000.0  # the whole first line is due by then: whoever can't be read is owed a word within 3 s
+IDLE_MS = 10_000.0  # one that was answered PONG may stay this long
+LINGER_MS = 1000.0  # one that was turned away has this long to end
+LINGER_BYTES = 65536  # and may send this much more; past that it is cut off
+AT_ONCE = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
+FEW = 16  # connections without a command that there is always room for
+
+
+class Commands(Protocol):
+    """What a first line needs of the table of commands, whatever becomes of them."""
+
+    known: lines.Known
+
+    def knows(self, id_: str) -> bool: ...
+    def full(self) -> bool: ...
+    def room(self) -> int: ...
+    async def serve(self, sock: socket.socket, opened: lines.Open) -> None: ...
+
+
+class Entrance:
+    def __init__(self, commands: Commands, clock: Clock) -> None:
+        self.commands, self.clock = commands, clock
+        self.tasks: set[asyncio.Task] = set()
+        # Connections without a command, oldest first: those that have said nothing yet that could be
+        # answered, and those that have had an answer and are owed no other.
+        self.unheard: dict[asyncio.Task, None] = {}
+        self.answered: dict[asyncio.Task, None] = {}
+
+    def listen(self, address: Address) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(4096)
+        return sock
+
+    async def accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            for _ in range(AT_ONCE):
+                try:
+                    sock, _ = await loop.sock_accept(listener)
+                except OSError as bad:
+                    # Out of descriptors, or a client that left at once: the listener must outlive both.
+                    say("accept", str(bad))
+                    self.shed()
+                    await self.clock.sleep(20)
+                    continue
+                self.take(loop, sock)
+            # Danger: while connections are pending sock_accept returns without a turn of the loop.
+            await asyncio.sleep(0)
+
+    def take(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        task = loop.create_task(self.connection(sock))
+        self.tasks.add(task)
+        self.unheard[task] = None
+        task.add_done_callback(lambda task: self.leave(task, sock))
+        # Danger: silent connections by the hundred would take all descriptors, and with them the commands,
+        # the probes and discovery. Past their room the oldest go at once; sound ones have spoken by then.
+        while len(self.unheard) + len(self.answered) > self.commands.room():
+            self.shed()
+
+    def leave(self, task: asyncio.Task, sock: socket.socket) -> None:
+        self.tasks.discard(task)
+        self.unheard.pop(task, None)
+        self.answered.pop(task, None)
+        sock.close()
+
+    def shed(self) -> None:
+        for pool in (self.answered, self.unheard):
+            for task in pool:
+                say("shed", f"{len(self.unheard)} connections without a first line: the oldest is closed")
+                del pool[task]
+                task.cancel()
+                return
+
+    def has_answer(self) -> None:
+        task = asyncio.current_task()
+        self.unheard.pop(task, None)
+        self.answered[task] = None
+
+    async def connection(self, sock: socket.socket) -> None:
+        try:
+            tune(sock)
+            opened = await self.first_line(sock)
+            if opened is None:
+                return
+            task = asyncio.current_task()
+            del (self.unheard if task in self.unheard else self.answered)[task]
+            await self.commands.serve(sock, opened)
+        except OSError:
+            pass
+        except Exception:
+            say("connection", traceback.format_exc(limit=-3))
+
+    async def first_line(self, sock: socket.socket) -> lines.Open | None:
+        """The command that the client opens with; None if it has left or was turned away."""
+        loop, data, pinged = asyncio.get_running_loop(), b"", False
+        buffer = bytearray(lines.LONGEST)
+        while True:
+            async with self.clock.limit(IDLE_MS if pinged else FIRST_LINE_MS) as limit:
+                while b"\n" not in data and len(data) < lines.LONGEST:
+                    count = await loop.sock_recv_into(sock, buffer)
+                    if not count:
+                        return None
+                    data += buffer[:count]
+            if limit.over:
+                if data or not pinged:
+                    await self.turn_away(sock, lines.FAILED)
+                return None
+            if data != lines.PING:
+                break
+            await loop.sock_sendall(sock, lines.PONG)
+            self.has_answer()
+            data, pinged = b"", True
+        opened = lines.parse_open(data, self.commands.known)
+        if isinstance(opened, lines.Open) and self.commands.knows(opened.id):
+            opened = "the id of a command that is open"
+        if isinstance(opened, str):
+            say("first line", f"not understood, {opened}: {data[:120]!r}")
+            await self.turn_away(sock, lines.FAILED)
+        elif self.commands.full():
+            say("descriptors", "no room for another command: nacked")
+            await self.turn_away(sock, lines.nack(500 + 500 * random.random()))
+        else:
+            return opened
+        return None
+
+    async def turn_away(self, sock: socket.socket, line: bytes) -> None:
+        """The answer, then the client's end is awaited: a close with its bytes unread resets the connection,
+        and some lose the answer with it. Whoever sends on and on has no such care taken."""
+        loop, buffer, left = asyncio.get_running_loop(), bytearray(lines.LONGEST), LINGER_BYTES
+        self.has_answer()
+        async with self.clock.limit(LINGER_MS):
+            await loop.sock_sendall(sock, line)
+            sock.shutdown(socket.SHUT_WR)
+            while left > 0 and (count := await loop.sock_recv_into(sock, buffer)):
+                left -= count
--- a/glenrock/net/lines.py
+++ b/glenrock/net/lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from math import isfinite
 
@@ -9,7 +10,14 @@
 
 LONGEST = 4096  # a line with its end
 PING, STATS, PONG, MOVE, FAILED = b"PING\r\n", b"STATS\r\n", b"PONG\r\n", b"MOVE\r\n", b"ERR\r\n"
-KEY_MASK = (1 << 64) - 1
+
+
+@dataclass(frozen=True)
+class Known:
+    """What a sound OPEN may name."""
+
+    classes: dict[str, float]  # each with the longest time that one of its clients may wait, in milliseconds
+    tenants: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -32,18 +40,41 @@
         return int(float(self.fields.get("h", "0")))
 
 
-def parse_open(line: bytes) -> Open | None:
-    """None for anything that is not a whole, sound OPEN line."""
-    try:
-        word, id_, key, rest = line.rstrip(b"\r\n").decode("ascii").split(" ")
-        fields = dict(part.split("=", 1) for part in rest.split(","))
-        out = Open(id_, int(key, 16) & KEY_MASK, fields, line)
-        sound = (word == "OPEN" and id_ and "c" in fields and 0 <= out.wait_ms < 1e9
-                 and ("d" in fields or "at" in fields) and 0 <= out.load < 1 << 62
-                 and (out.group is None or out.group >= 0))
-    except (ValueError, OverflowError):
-        return None
-    return out if sound else None
+# Python's own int() and float() would also take signs, underscores, blanks, NaN and infinity.
+OPEN = re.compile(rb"OPEN ([0-9A-Za-z._-]{1,64}) ([0-9A-Fa-f]{1,16}) ([!-~]+)\r\n")
+FIELD = re.compile(r"([A-Za-z][A-Za-z0-9_]*)=([^=]+)")
+HEX = re.compile(r"[0-9A-Fa-f]{1,16}")
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+FORMS = {"g": HEX, "d": NUMBER, "h": NUMBER, "r": re.compile("[01]"), "again": re.compile("[01]")}
+
+
+def parse_open(data: bytes, known: Known) -> Open | str:
+    """What the client opens with, or what is wrong with it. Nothing unsound may reach an instance: it closes
+    on what it can't read, and what it makes of the rest would be passed on as if it had run."""
+    found = OPEN.fullmatch(data)
+    if found is None:
+        whole, _, more = data.partition(b"\r\n")
+        return "bytes before the answer" if more and OPEN.fullmatch(whole + b"\r\n") else "not an OPEN line"
+    if len(data) > LONGEST:
+        return "too long"
+    pairs = [FIELD.fullmatch(part) for part in found[3].decode("ascii").split(",")]
+    if not all(pairs):
+        return "a field that is not NAME=VALUE"
+    fields = {pair[1]: pair[2] for pair in pairs}
+    if len(fields) < len(pairs):
+        return "a field twice"
+    for name, form in FORMS.items():
+        if name in fields and not form.fullmatch(fields[name]):
+            return f"{name} out of form"
+    if fields.get("c") not in known.classes:
+        return "no class that is known"
+    if known.tenants and fields.get("t") not in known.tenants:
+        return "no tenant that is known"
+    if "d" not in fields and "at" not in fields:
+        return "no d"
+    out = Open(found[1].decode(), int(found[2], 16), fields, data)
+    # A connection that stood before this balancer did waits as long as it takes.
+    return "d too long" if "at" not in fields and out.wait_ms > known.classes[fields["c"]] else out
 
 
 def with_wait(line: bytes, ms: float) -> bytes:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -38,7 +38,7 @@
     async def ending(self) -> str:
         try:
             return "fin" if await self.reader.read() == b"" else "more bytes"
-        except ConnectionResetError:
+        except (ConnectionResetError, BrokenPipeError):
             return "reset"
 
     def close(self, how: str) -> None:
@@ -152,6 +152,8 @@
             (await self.end(who)).send(text.encode() + b"\r\n")
         elif what == "raw":
             (await self.end(who)).send(text.encode().decode("unicode_escape").encode("latin-1"))
+        elif what == "floods":
+            (await self.end(who)).send(b"k" * int(text))
         elif what == "ends":
             (await self.end(who)).close(text)
         elif what == "sees":
