Tell slow servers by their own past and leave them early, by whole groups

Traced: an instance went from 0.25 to 0.9 in a second, stood at 0.8 to 1.0 for five, and dropped all it held. `can` was set against the mean of all, so an instance that mostly other balancers use looked slow, and one that had lost most of its capacity did not (Balancer.mean). Nothing moved under 1.0 (relieve), and the sample of each round is drawn, which left one unseen for 5.8 s (round). Ruled out: the price of probes; the sample costs as many as before.

--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -40,7 +40,8 @@
     held: dict[str, Flow] = field(default_factory=dict)  # connections of ours that stand there
     spell: int = -1  # while cold: the window now running, and the load sent in it
     spent: float = 0.0
-    can: float = 0.0  # load of ours that would fill it; 0: not known
+    can: float = 0.0  # load that would fill it as lately seen; 0: not known
+    usual: float = 0.0  # and as seen over a longer time
     part: float = 1.0  # of what a server usually can, at most 1
 
 
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -27,14 +27,14 @@
 HIGH = 0.86  # probed load above this is high: it cuts the cap and the weight
 RELIEF = 0.65  # when connections have to go they go down to this, so that the work piled up drains
 LONE = 0.5  # or to this where the others have room: what makes one server slow often makes it slower yet
-SLOW = 0.6  # a server that can do no more than this part of what is usual has become slow
+SLOW, LEFT = 0.6, 0.3  # with no more than this part of its usual capacity one is slow; it is emptied to this
 BUSY, LATE = 0.82, 1.1  # what slow messages say of a server; messages past their aim, before any was asked
 QUIET = 0.58  # what silence says where there are no reports: room enough for the cap to rise
 DRAIN_US = 6 * S  # work piled up at a server takes this long to go
 NOTE_US = 3 * S // 2  # such word comes once a second
 LEAVE_US = 2 * S  # clients of a server that drains are told to move over this time, before it cuts them off
 MOVE_AT = 1.0  # above this a server serves hardly any message in time, so open connections are moved
-CAN_GAIN = 0.3  # per round, of what a server is seen to do
+CAN_GAIN, USUAL_GAIN = 0.4, 0.04  # per round, of what a server is seen to do: now, and usually
 SAMPLE = 12  # servers known that make the fleet's mean
 # -- AIMD ------------------------------------------------------------------------------------------
 CAP_CUT, CAP_RISE = 0.85, 0.25  # per feedback delay; per round, of the room that reports show
@@ -260,16 +260,16 @@
 
     def mean(self, seen: list[tuple[Server, float]]) -> float:
         """The load of the servers together. Danger: a few that have become slow show many times their load,
-        and in a plain mean they would close the cap while the others have room. So each counts by what it
-        can do: the load it bears here, over its part of capacity in use."""
+        and in a plain mean they would close the cap while the others have room. So each counts by the part of
+        its own usual capacity that it still has: the load it bears here, over its capacity in use."""
+        ours = min(1.0, max(0.05, self.active / max(1.0, self.known_active())))
         for s, load in seen:
-            ours = sum(f.load for f in s.held.values())
-            if load > 0.1 and ours > 2 * self.mean_load:
-                s.can += (ours / load - s.can) * (CAN_GAIN if s.can else 1)
-        known = [s.can for s, _ in seen if s.can]
-        usual = sum(known) / len(known) if known else 1.0
-        for s, _ in seen:
-            s.part = min(1.0, (s.can or usual) / usual)
+            held = sum(f.load for f in s.held.values())
+            if load > 0.1 and held > 2 * self.mean_load:
+                can = held / ours / load
+                s.can += (can - s.can) * CAN_GAIN if s.can else can
+                s.usual += (can - s.usual) * USUAL_GAIN if s.usual else can
+                s.part = min(1.0, s.can / s.usual)
         return sum(s.part * load for s, load in seen) / sum(s.part for s, _ in seen)
 
     def learn_cap(self) -> None:
@@ -636,29 +636,38 @@
             load = self.belief(s)
             if not scarce and self.now - s.late_at < NOTE_US:
                 load = max(load, LATE)  # where there is room, late messages are enough
-            if load <= MOVE_AT or not s.held or s.leaves_by:
+            # Danger: one that loses its capacity mostly goes on to drop all it holds: little is left there,
+            # and it goes early.
+            slow = s.part <= SLOW and not scarce
+            if load <= (TARGET if slow else MOVE_AT) or not s.held or s.leaves_by:
                 continue
             # Danger: work piled up keeps messages late long after enough has left; without a report of the
             # load asked, wait for it to drain before taking more.
             blind = self.now - s.load_at > FRESH_US and not self.probe(s)
-            wait = (DRAIN_US if blind else FEEDBACK_US) if scarce or s.part > SLOW else FRESH_US
+            wait = FRESH_US if slow else DRAIN_US if blind and scarce else FEEDBACK_US
             if self.now - s.moved_at < wait or s.probe_at >= 0:
                 continue
             load = max(load, self.fleet) if blind else load
             s.moved_at = self.now
             # Danger: where the others are nearly full too, clients in number would go round and round.
-            down_to = RELIEF if scarce else min(TARGET, max(LONE, self.fleet))
+            down_to = RELIEF if scarce else LEFT if slow else min(TARGET, max(LONE, self.fleet))
             excess = (load - down_to) / load * sum(f.load for f in s.held.values())
             # By worth, but drawn: in strict order the least worthy class would be served nothing at all.
-            order = [(f.kind.worth * self.rng.random() if scarce else -f.load, n, f)
-                     for n, f in enumerate(s.held.values())]
-            for _, _, f in sorted(order):
-                if excess < f.load and self.rng.random() * f.load > excess:
+            # A slow one loses whole groups: it bears a group's common work while it holds any of it.
+            groups: dict[object, list[Flow]] = {}
+            for id_, f in s.held.items():
+                groups.setdefault(f.event.group if slow and f.event.group is not None else id_, []).append(f)
+            order = [(g[0].kind.worth * self.rng.random() if scarce else -sum(f.load for f in g), n, g)
+                     for n, g in enumerate(groups.values())]
+            for _, _, group in sorted(order):
+                weight = sum(f.load for f in group)
+                if excess < weight and self.rng.random() * weight > excess:
                     break
-                excess -= f.load
-                self.out.append(io.Move(f.event.id))
-                if scarce:
-                    self.shed[f.event.id] = None
+                excess -= weight
+                for f in group:
+                    self.out.append(io.Move(f.event.id))
+                    if scarce:
+                        self.shed[f.event.id] = None
 
     # == answering in time =========================================================================
 
@@ -721,7 +730,9 @@
         self.empty()
         self.relieve()
         if self.probe_tokens > 2 * CANDIDATES and self.ring.points:  # a sample that no trouble chose
-            self.probe(self.ring.at(self.rng.getrandbits(64)))
+            # Of the longest unheard: a draw left one that had become slow unseen for six seconds.
+            self.probe(min((s for s in self.servers.values() if s.ready),
+                           key=lambda s: (s.probe_at >= 0, s.load_at, s.code)))
         if not self.set.tells_delay:  # nobody says that a server is slow, so each that holds ours is asked
             for s in self.servers.values():
                 stale = s.held and s.ready and self.now - s.load_at > FRESH_US
