Keep the last good list against empty, older and absurd answers of discovery

Read off the code and shown by the recorded exchange, which fails without the change: an empty whole list took every instance out of use, an older one replaced a newer, and a row with an infinite number was raised on only after its index had been taken (NameTable.call, Instances.update), so that what came with it was never told again. Now: rows are checked for name, state, port and finite numbers, the later of two for one name stands, an empty whole list and an older version are not taken; told four times in a row, the older whole list counts, for discovery may have started anew. A list of instances that all drain is still taken.

--- a/glenrock/net/instance.py
+++ b/glenrock/net/instance.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import isfinite
 
 from wheatrouter import interface as io
 
@@ -20,6 +21,8 @@
 PROBE_MS = 250.0  # an instance that leaves a probe unanswered this long has not answered
 IDLE_MS = 8000.0  # a probe connection unused this long is closed
 MAIL = 1024  # probes and executions that may wait for one actor
+STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}  # the name table's, the module's
+LONGEST_NAME = 256
 TABLE = 4096  # instances kept: a name table past that is not this deployment's
 
 Post = Callable[[io.Event], bool]
@@ -247,10 +250,10 @@
                 known.entry = row
             elif len(self.all) < TABLE:
                 self.all[row.name] = Instance(row, self.clock, self.dial_ms, self.post)
-        states = {"SERVING": "ready", "DELETED": "gone"}
+        now = self.clock.now()  # one that starts in the future would be cold for as long
         self.post(io.ServerList(kind, tuple(
-            io.ServerEntry(r.name, states.get(r.status, "draining"), r.zone, r.group, r.weight,
-                           micros(r.since_ms)) for r in rows if r.name in self.all)))
+            io.ServerEntry(r.name, STATES[r.status], r.zone, r.group, r.weight, micros(min(now, r.since_ms)))
+            for r in rows if r.name in self.all)))
 
     def forget(self) -> None:
         for name in [n for n, x in self.all.items() if x.entry.status == "DELETED" and not x.tasks]:
@@ -267,10 +270,15 @@
 
 
 def row_of(raw: dict) -> Entry:
-    """ValueError, TypeError or KeyError where the row is not one."""
+    """ValueError, TypeError, KeyError or OverflowError where the row is not one."""
     try:
         address = address_of(raw["address"], "address")
     except ConfigError as bad:
         raise ValueError(str(bad)) from None
-    return Entry(str(raw["name"]), address, str(raw["status"]), str(raw.get("zone", "")),
-                 int(raw.get("group", 0)), float(raw.get("weight", 1.0)), float(raw.get("since_ms", 0)))
+    row = Entry(str(raw["name"]), address, str(raw["status"]), str(raw.get("zone", "")),
+                int(raw.get("group", 0)), float(raw.get("weight", 1.0)), float(raw.get("since_ms", 0)))
+    if not 0 < len(row.name) <= LONGEST_NAME or row.status not in STATES or not address[1]:
+        raise ValueError("no name, state or port that can be used")
+    if not (isfinite(row.weight) and row.weight >= 0 and isfinite(row.since_ms) and row.since_ms >= 0):
+        raise ValueError("a number out of range")
+    return row
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -22,6 +22,7 @@
 FIRST_MS = 1000
 SOON_MS = 50  # the next call is due within 200 ms of an answer
 LONGEST_WAIT_MS = 1000.0  # between two calls while they fail; it must be found again within 4 s of a move
+OLDER_TIMES = 4  # an older whole list is believed when told this often in a row
 LARGEST = 4 << 20  # bytes of an answer
 
 
@@ -41,13 +42,18 @@
 
 
 def rows_of(raw: dict[str, Any]) -> tuple[int, bool, list[Entry]]:
-    rows = []
+    """Rows that can't be read are left out; of two for one name the later stands."""
+    rows: dict[str, Entry] = {}
     for item in raw["endpoints"]:
         try:
-            rows.append(row_of(item))
-        except (ValueError, TypeError, KeyError) as bad:
-            say("name table", f"row {item!r} left out: {bad!r}")
-    return int(raw["index"]), bool(raw["snapshot"]), rows
+            row = row_of(item)
+            rows[row.name] = row
+        except (ValueError, TypeError, KeyError, OverflowError) as bad:
+            say("name table", f"row {item!r:.200} left out: {bad!r:.200}")
+    index, snapshot = raw["index"], raw["snapshot"]
+    if not isinstance(index, int) or not isinstance(snapshot, bool):
+        raise ValueError(f"index {index!r}, snapshot {snapshot!r}")
+    return index, snapshot, list(rows.values())
 
 
 class NameTable:
@@ -57,6 +63,8 @@
         self.sock: socket.socket | None = None
         self.limit: Limit | None = None  # of what the actor waits for now
         self.index: int | None = None
+        self.newest = -1  # of the versions that this address has told
+        self.older = 0  # answers in a row that were older than that
         self.failures = 0
         self.first = asyncio.Event()  # set when discovery has been heard once
 
@@ -75,6 +83,7 @@
         # The old one may hold its answer back for seconds, or fall silent: nothing more is awaited there. No
         # version of its own means anything elsewhere, so the whole list is asked for.
         self.address, self.index, self.failures = address, None, 0
+        self.newest, self.older = -1, 0
         if self.limit:
             self.limit.stop()
 
@@ -110,6 +119,7 @@
         limit_ms = WAIT_MS + GRACE_MS if query else FIRST_MS
         raw = await self.within(limit_ms, self.get(f"/discovery/hosts{query}"))
         index, snapshot, rows = rows_of(raw)
+        self.check(index, snapshot, rows)
         # The index is taken only with its rows, and the next call follows at once: within 200 ms it
         # continues the watch, later it would start a new one.
         self.index = index
@@ -120,6 +130,21 @@
             self.update("full" if snapshot else "changes", rows)
         self.first.set()
 
+    def check(self, index: int, snapshot: bool, rows: list[Entry]) -> None:
+        """OSError for an answer that must not replace the list held.
+
+        Danger: an empty list would take every instance out of use, and an old one brings back those that have
+        left. Only a discovery that says so again and again has started anew, with lower versions.
+        """
+        if snapshot and not rows:
+            raise OSError("an empty list")
+        if index < self.newest:
+            self.older += 1
+            if self.older < OLDER_TIMES or not snapshot:
+                self.index = None  # the whole list, to find out
+                raise OSError(f"version {index} after {self.newest}")
+        self.newest, self.older = index, 0
+
     async def get(self, path: str) -> Any:
         loop = asyncio.get_running_loop()
         if self.sock is None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -108,7 +108,7 @@
 
     async def expect(self, who: str, pattern: str) -> None:
         got = await (await self.end(who)).line()
-        if who in ("discovery", "elsewhere"):
+        if who.partition(".")[0] in ("discovery", "elsewhere"):
             while got and not got.startswith("GET") or not got and not self.ends[who].reader.at_eof():
                 got = await self.ends[who].line()
         if not fnmatch.fnmatchcase(got, pattern):
@@ -135,6 +135,8 @@
         elif what == "lists":
             rows = [self.row(*part.split("=")) for part in text.split()]
             self.answer({"index": 2, "snapshot": True, "endpoints": rows}, who)
+        elif what == "says":
+            self.answer(json.loads(text), who)
         elif who == "signal":
             stop = asyncio.Event()
             stop.set()
