Exclude no server where all are excluded, and take no report below zero

Read off the code and shown by tests that fail without the change: with each server out of use (Balancer.failed doubles the time up to 16 s) candidates() found nobody, so a client waited out its aim without one attempt; a report below zero made a server's load "not known" (learn_report).

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -534,3 +534,26 @@
         h.give(*(io.ProbeResult(name, "served", 1000, {"load_ratio": 0.3}) for name in now))
         asked += now
     assert sorted(asked) == sorted(loads), "each once before one is asked again"
+
+
+def test_excluding_all_servers_is_excluding_none(make) -> None:
+    h = make(may_probe=True, reports=("load_ratio",))
+    for name in ("a:1", "b:1", "c:1"):
+        for _ in range(4):
+            h.give(io.ProbeResult(name, "no_connection", 1000))
+    assert all(s.down_until > h.now + SECOND for s in h.b.servers.values())
+    name = h.request(key=1)
+    h.run(SECOND // 10)
+    assert h.sends(name), "tried rather than left without an attempt"
+    for name in ("a:1", "b:1"):
+        h.b.servers[name].down_until = 0
+    again = h.request(key=2)
+    h.run(SECOND // 10)
+    assert h.sends(again)[0].server != "c:1", "with others back, the one out of use stays out"
+
+
+def test_a_report_below_zero_is_no_report(make) -> None:
+    h = make(may_probe=True, reports=("load_ratio",), names=("a:1",))
+    h.give(io.ProbeResult("a:1", "served", 1000, {"load_ratio": 0.7}))
+    h.give(io.ProbeResult("a:1", "served", 1000, {"load_ratio": -5.0}))
+    assert h.b.servers["a:1"].load == 0.7
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -114,6 +114,7 @@
         self.cap = float("inf")  # starts high: nothing is known against it
         self.cap_cut_at = LONG_AGO
         self.late_load = 0.0  # load lately found at servers whose messages were late
+        self.none_left = False  # each server that is ready is out of use for a while
         self.fleet = 0.5  # mean load over servers lately probed
         self.warm = 0  # servers past their warm-up, when there were any
         self.capacity = 0.0  # of one server, in load; 0: not known
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -130,7 +130,7 @@
     def may_take(self, s: Server, load: float) -> bool:
         """The one place that says whether a server may be sent new work now."""
         # Danger: a send after a drain notice breaks the drain; so nothing goes there once it is known.
-        return s.ready and self.now >= s.down_until and self.cold_room(s) >= load
+        return s.ready and (self.now >= s.down_until or self.none_left) and self.cold_room(s) >= load
 
     def warmth(self, s: Server) -> float:
         """The part of its capacity that a server surely has by now."""
@@ -177,7 +177,7 @@
 
     def learn_report(self, s: Server, report: dict[str, float]) -> None:
         load = report.get(io.LOAD_RATIO, report.get(io.UTILIZATION))
-        if load is not None:
+        if load is not None and load >= 0:  # less is no load: it would count as not known
             self.learn(s, load)
 
     def belief(self, s: Server) -> float:
@@ -503,6 +503,8 @@
         found: list[Server] = []
         if not self.ring.points:
             return found
+        # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
+        self.none_left = all(self.now < s.down_until for s in self.servers.values() if s.ready)
         for n in range(16):
             ring = self.local if self.local.points and (n % 2 == 0 or n > 8) else self.ring
             s = ring.at(mix(seed + n))
