Make a list one change of the ring, and begin the laboratory and the command line

Need: a first list of thousands took seconds, since each of a server's points was inserted into one sorted list; and nothing of ours could say what a change does to a large fleet.

Change: the ring is cut into buckets that are sorted when first asked, and points are worked out sixteen at a time. glenrock/lab emulates clients, balancers, instances, the list, links and faults in simulated time round the same Balancer.handle; glenrock/cli is the command line on click. `python -m glenrock` imports none of it.

--- /dev/null
+++ b/glenrock/cli/check.py
@@ -0,0 +1,36 @@
+"""`glenrock check FILE`: is a file sound?"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from ..toml_file import BadFile
+
+
+@click.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+def command(file: Path) -> None:
+    """Check an experiment (.toml) or the platform's configuration (.json), and say what is wrong.
+
+    \b
+    Example:
+      glenrock check experiments/calm.toml
+    Exit codes: 0 sound, 2 not; then one line names the file, the line and the key.
+    """
+    if file.suffix == ".toml":
+        from ..lab import spec
+
+        found = spec.points(file)
+        click.echo(f"{file}: sound ({found[0][1].name}, {len(found)} point{'s' * (len(found) != 1)})")
+    elif file.suffix == ".json":
+        from ..config import ConfigError, read
+
+        try:
+            config = read({"LB_CONFIG": str(file)})
+        except ConfigError as bad:
+            raise BadFile(f"{file}: {bad}") from None
+        click.echo(f"{file}: sound ({config.name or 'no name'}, listens on {config.listen[0]}:{config.listen[1]})")
+    else:
+        raise BadFile(f"{file}: neither .toml nor .json")
--- /dev/null
+++ b/glenrock/cli/lab_report.py
@@ -0,0 +1,33 @@
+"""`glenrock lab report`: the report of a folder of results, made anew."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+from ..toml_file import BadFile
+
+
+@click.command("report")
+@click.argument("folder", type=click.Path(path_type=Path))
+def command(folder: Path) -> None:
+    """Write report.html of a run's or a sweep's folder again.
+
+    \b
+    Example:
+      glenrock lab report out/lab/calm-glenrock-1
+    Exit codes: 0 done, 2 bad input.
+    """
+    from ..lab import record, report
+
+    if (folder / "sweep.json").is_file():
+        try:
+            text = report.of_sweep(json.loads((folder / "sweep.json").read_text(encoding="utf-8")))
+        except (OSError, ValueError, KeyError) as bad:
+            raise BadFile(f"{folder / 'sweep.json'}: {bad}") from None
+    else:
+        text = report.of_run(folder)
+    record.file(folder / "report.html", text)
+    click.echo(f"results: {folder}/report.html")
--- /dev/null
+++ b/glenrock/lab/model/client.py
@@ -0,0 +1,63 @@
+"""A client: what it wants is in the plan; here is how it tries, waits, comes again and gives up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..spec import Clients as Spec
+from ..streams import Streams
+from .plan import Row
+
+if TYPE_CHECKING:
+    from .balancer import Flow
+    from .instance import Connection
+
+SECOND = 1_000_000
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    row: Row
+    tries: int = 0  # all of them: names each one
+    failures: int = 0  # in a row, since it last stood
+    since: int = -1  # it has waited to be set up since then
+    flow: Flow | None = None  # the try that is out, or the one that stands
+    connection: Connection | None = None
+    again: bool = False  # it has stood before
+    done: bool = False
+    change: int = 0  # of its changes of load, the next
+
+
+class Habits:
+    """The times that clients take, drawn from a stream of their own."""
+
+    def __init__(self, spec: Spec, streams: Streams) -> None:
+        self.spec = spec
+        self.draw, self.wait = streams.uniforms("habits"), streams.exponentials("habit waits")
+        self.backoff, self.pause = float(spec.backoff_ms) * 1000, float(spec.pause_ms) * 1000
+        self.rejoin, self.move = float(spec.rejoin_ms) * 1000, float(spec.move_ms) * 1000
+        self.honour, self.impatient = float(spec.honour), float(spec.impatient)
+        self.quick: Callable[[int], bool] = lambda failures: failures <= int(spec.retries)
+
+    def after_failure(self, client: Client) -> int:
+        """How long until it tries again by itself."""
+        if self.quick(client.failures):
+            return round(self.backoff * 2 ** (client.failures - 1) * (0.5 + self.draw()))
+        return round(self.pause * (0.5 + self.draw()))
+
+    def after_refusal(self, client: Client, told_us: int) -> int:
+        if told_us > 0 and self.draw() < self.honour:
+            return told_us
+        return self.after_failure(client)
+
+    def after_break(self) -> int:
+        return round(self.rejoin * self.wait())
+
+    def after_move(self) -> int:
+        return round(self.move * (0.5 + self.draw()))
+
+    def leaves_after(self, give_up_us: int) -> int | None:
+        """When it leaves this try early; None for the patient."""
+        return round(give_up_us * self.draw()) if self.draw() < self.impatient else None
--- /dev/null
+++ b/glenrock/lab/policies/__init__.py
@@ -0,0 +1,31 @@
+"""What can be driven: the decision module that serves, and the textbook's ways to compare it with.
+
+All of them take the events and give the actions of `wheatrouter.interface`. `make` builds one by its name.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wheatrouter import interface as io
+
+from ..model.balancer import Decisions
+from . import choices, module, prequal
+
+Maker = Callable[[io.Settings, int], Decisions]
+
+POLICIES: dict[str, tuple[Maker, str]] = {
+    "glenrock": (module.Balancer, "the decision module as it serves"),
+    "random": (choices.Random, "any instance that is ready, evenly"),
+    "round_robin": (choices.RoundRobin, "each in turn, from a start drawn by each balancer"),
+    "least": (choices.Least, "the one with the fewest connections of this balancer's own"),
+    "two_choices": (choices.TwoChoices, "of two drawn, the one with fewer connections of its own (Mitzenmacher)"),
+    "weighted": (choices.Weighted, "drawn by the room that load reports show; reports are asked evenly"),
+    "join_idle": (choices.JoinIdle, "one known to be idle, else drawn (Lu et al., 2011)"),
+    "prequal": (prequal.Prequal, "a pool of probes, hot and cold (Wydrowski et al., NSDI 2024)"),
+}
+
+
+def make(name: str) -> Maker:
+    """Raises KeyError for a name that is not in POLICIES."""
+    return POLICIES[name][0]
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -99,6 +99,8 @@
         self.out: list[io.Action] = []
         self.servers: dict[str, Server] = {}
         self.ring, self.local = Ring(), Ring()  # of all servers that are ready; of those in this zone
+        # What the list now read changes: a server, its points, ready or not, in this zone.
+        self.changed: list[tuple[Server, tuple[int, ...], bool, bool]] = []
         self.flows: dict[str, Flow] = {}
         self.choosing: dict[str, Flow] = {}  # requests that wait for probes
         self.held: dict[str, None] = {}  # requests no server may take yet
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -10,7 +10,7 @@
 
 from . import interface as io
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
-from .ring import MASK, mix
+from .ring import MASK, mix, points
 from .summary import decode, encode
 
 S = 1_000_000  # microseconds in a second
@@ -118,15 +118,18 @@
             if x.started_us > s.started_us:
                 # A restart: what was known of the old process is void, and the new one is cold.
                 s.started_us, s.down_until, s.failures, s.load = x.started_us, 0, 0, -1.0
+        # One change for the whole list: server by server, thousands of them take seconds.
+        self.ring.change([change[:3] for change in self.changed])
+        self.local.change([change[:3] for change in self.changed if change[3]])
+        self.changed.clear()
 
     def set_ready(self, s: Server, ready: bool) -> None:
         if s.ready != ready:
             s.ready = ready
             # Gone counts too: a machine that vanished leaves its connections open and silent.
             s.leaves_by = 0 if ready else self.now + LEAVE_US
-            self.ring.put(s, ready)
-            if s.zone == self.set.zone and self.set.price_cross_zone:
-                self.local.put(s, ready)
+            near = s.zone == self.set.zone and self.set.price_cross_zone > 0
+            self.changed.append((s, points(s.code), ready, near))
 
     def may_take(self, s: Server, load: float) -> bool:
         """The one place that says whether a server may be sent new work now."""
@@ -507,12 +510,12 @@
         seed = self.rng.getrandbits(64) if group is None else mix(group)
         tried = {a.server.id for a in f.attempts}
         found: list[Server] = []
-        if not self.ring.points:
+        if not self.ring:
             return found
         # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
         self.none_left = all(self.now < s.down_until for s in self.servers.values() if s.ready)
         for n in range(16):
-            ring = self.local if self.local.points and (n % 2 == 0 or n > 8) else self.ring
+            ring = self.local if self.local and (n % 2 == 0 or n > 8) else self.ring
             s = ring.at(mix(seed + n))
             if s in found or s.id in tried or not self.may_send(f, s):
                 continue
@@ -737,7 +740,7 @@
         self.divide_slots()
         self.empty()
         self.relieve()
-        if self.probe_tokens > 2 * CANDIDATES and self.ring.points:  # a sample that no trouble chose
+        if self.probe_tokens > 2 * CANDIDATES and self.ring:  # a sample that no trouble chose
             # Of the longest unheard: a draw left one that had become slow unseen for six seconds.
             self.probe(min((s for s in self.servers.values() if s.ready),
                            key=lambda s: (s.probe_at >= 0, s.load_at, s.code)))
