--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -174,7 +174,8 @@
             host = self.front.pick(row.zone)
             if not host:
                 continue
-            f = client.flow = Flow(f"{row.number}.1", client, host, self.engine.now, self.engine.now, answered=True)
+            f = client.flow = Flow(f"{row.number}.1", client, host, self.engine.now, self.engine.now,
+                                   answered=True, end="up")
             a = Attempt(f, 0, i, self.engine.now, up=True)
             f.attempts.append(a)
             f.standing = a
@@ -355,11 +356,11 @@
 
     def leave(self, f: Flow, life: int) -> None:
         """Word of a client's leaving arrives; an answer may have crossed it."""
-        if f.host.life != life or f.over:
+        if f.host.life != life:
             return
         if f.standing:
             self.crossed(f)
-        else:
+        elif not f.end:
             f.host.leave(f)
 
     def crossed(self, f: Flow) -> None:
@@ -559,15 +560,19 @@
 
     def count_out(self, c: Connection) -> None:
         self.credit(c)
+        self.count_span(c)
+        client = c.client
+        if client.connection is c:
+            client.connection = client.flow = None
+            self.standing.pop(client, None)
+
+    def count_span(self, c: Connection) -> None:
+        """How long it stood, and whether across zones."""
         span = (min(self.engine.now, self.begin_us + self.length) - c.opened) / S
         if span > 0:
             self.measure.standing_s += span
             if c.attempt.flow.host.zone != c.attempt.instance.shape.zone:
                 self.measure.crossing_s += span
-        client = c.client
-        if client.connection is c:
-            client.connection = client.flow = None
-            self.standing.pop(client, None)
 
     def break_(self, c: Connection, verdict: str, wait: int | None = None, quiet: bool = False) -> None:
         """A standing connection is lost: its instance, its link or its client's side is gone."""
@@ -745,8 +750,10 @@
                 if a.out:
                     a.out = False
                     self.give_up(a)
-            if f.client.flow is f and not f.over:
-                self.again_after_end(f)
+            if not f.end:
+                host.conclude(f, "killed")
+                if f.client.flow is f:
+                    self.again_after_end(f)
             f.over = True
         self.front.stopped(host)
 
@@ -766,9 +773,9 @@
     def summary(self, wall_s: float, cpu_s: float) -> dict[str, Any]:
         """Stable keys, described in docs/lab.md. All but `clock` is the same whenever file and seed are."""
         m, c = self.measure, self.measure.counts
-        for client in list(self.standing):
+        for client in self.standing:
             if client.connection:
-                self.count_out(client.connection)
+                self.count_span(client.connection)
         handled, handle_s = sum(h.handled for h in self.hosts), sum(h.cpu_ns for h in self.hosts) / 1e9
         first = max(1, c["clients"])
         events = self.engine.events
--- a/glenrock/lab/model/balancer.py
+++ b/glenrock/lab/model/balancer.py
@@ -56,6 +56,7 @@
     standing: Attempt | None = None
     over: bool = False
     mine: bool = False  # ended by the decisions themselves
+    end: str = ""  # how the try was concluded: up, refused, failed, overdue, left or killed; once
     over_told: int = 0  # turns taken when its end was posted: it is told in the next one
 
 
@@ -96,7 +97,8 @@
         self.leaving: dict[str, int] = {}  # told that these drain or are gone, and when
         self.waiting = False  # a turn is due
         self.closed: deque[Flow] = deque()  # over, and forgotten once their end was told
-        self.turns = self.handled = self.cpu_ns = self.actions = 0
+        self.turns = self.handled = self.cpu_ns = self.actions = self.arrived = 0
+        self.ends: dict[str, int] = {}
         self.leaving_self = False  # it hands its clients back before it ends
 
     # -- the process ---------------------------------------------------------------------------------
@@ -175,18 +177,27 @@
     def take(self, f: Flow, request: io.Request) -> None:
         """A client's first line has come."""
         self.flows[f.id] = f
+        self.arrived += 1
         self.post(request)
         grace = self.world.answer_grace_us
         self.engine.at(f.deadline + grace + 1, self.past, f, self.life)
 
+    def conclude(self, f: Flow, how: str) -> None:
+        """Each try is concluded once; a second time is a fault of the emulator."""
+        if f.end:
+            raise AssertionError(f"{f.id}: {how} after {f.end}")
+        f.end = how
+        self.ends[how] = self.ends.get(how, 0) + 1
+
     def past(self, f: Flow, life: int) -> None:
         if life == self.life and not f.answered and not f.over:
             self.world.breach("answered", "no final answer in time", f, "")
-            self.leave(f)
+            self.leave(f, "overdue")
             self.world.overdue(f)
 
-    def leave(self, f: Flow) -> None:
+    def leave(self, f: Flow, how: str = "left") -> None:
         """The client is gone, or given up for gone."""
+        self.conclude(f, how)
         self.finish(f)
         for a in f.attempts:
             if a.out and not a.up:
@@ -203,6 +214,7 @@
     def started(self, a: Attempt) -> None:
         f = a.flow
         f.answered, f.standing, a.up = True, a, True
+        self.conclude(f, "up")
         self.post(io.Started(f.id, a.number, a.instance.name, self.engine.now - a.sent))
 
     def ended(self, a: Attempt, verdict: str, report: dict[str, float] | None = None) -> None:
@@ -268,6 +280,7 @@
         if f and not f.answered and not f.over:
             f.answered = f.mine = True
             self.finish(f)
+            self.conclude(f, "refused")
             self.world.refused(f, x.retry_after_us)
 
     def on_fail(self, x: io.Fail) -> None:
@@ -275,6 +288,7 @@
         if f and not f.answered and not f.over:
             f.answered = f.mine = True
             self.finish(f)
+            self.conclude(f, "failed")
             self.world.failed(f)
 
     def on_move(self, x: io.Move) -> None:
--- a/glenrock/lab/runner.py
+++ b/glenrock/lab/runner.py
@@ -75,17 +75,17 @@
             yield keep(kept, play(task))
             done(1)
         return
-    with ProcessPoolExecutor(min(jobs, max(1, len(left))), get_context("spawn"), deaf) as pool:
+    pool = ProcessPoolExecutor(min(jobs, max(1, len(left))), get_context("spawn"), deaf)
+    try:
         out = {pool.submit(play, task) for task in left}
-        try:
-            while out:
-                ready, out = wait(out, return_when=FIRST_COMPLETED)
-                for future in ready:
-                    yield keep(kept, future.result())
-                    done(1)
-        except BaseException:
-            pool.shutdown(wait=False, cancel_futures=True)
-            raise
+        while out:
+            ready, out = wait(out, return_when=FIRST_COMPLETED)
+            for future in ready:
+                yield keep(kept, future.result())
+                done(1)
+    finally:
+        # Not `with`: its second shutdown takes the first one's cancelling back, and all is played to the end.
+        pool.shutdown(wait=True, cancel_futures=True)
 
 
 def keep(kept: Path | None, summary: dict[str, Any]) -> dict[str, Any]:
--- /dev/null
+++ b/tests/lab/days.py
@@ -0,0 +1,66 @@
+"""Small days for tests, built from plain tables."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from glenrock import toml_file
+from glenrock.lab import spec
+from glenrock.lab.day import Day
+from glenrock.lab.model.balancer import PolicyFailed
+from wheatrouter import interface as io
+
+SMALL: dict[str, Any] = {
+    "name": "small", "length_s": 12.0, "drain_s": 4.0, "fleet": {"balancers": 2, "instances": 4},
+    "traffic": {"life_s": 8.0, "connections_per_core": 8.0, "load": 0.3},
+    "classes": [{"name": "lookup", "worth": 5.0}, {"name": "browse", "load": 2.0, "life": 0.5}],
+    "tenants": [{"name": "one", "share": 2.0}, {"name": "two"}]}
+PATH = Path("experiment.toml")
+
+
+def experiment(**over: Any) -> spec.Experiment:
+    found = toml_file.convert(PATH, "", spec.merge(SMALL, over), spec.Experiment)
+    spec.check(found, PATH, "")
+    return found
+
+
+def day(seed: int = 1, policy: str = "random", make=None, **over: Any) -> Day:
+    return Day(experiment(**over), seed, policy, make=make)
+
+
+class Scripted:
+    """Takes every request to the first server that is ready, and lets a test put its hand in."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.set, self.now, self.ready = settings, 0, {}
+        self.events: list[io.Event] = []
+
+    def handle(self, now_us: int, events: list[io.Event]) -> list[io.Action]:
+        self.now = now_us
+        out: list[io.Action] = []
+        for e in events:
+            self.events.append(e)
+            out += self.on(e)
+        return out
+
+    def on(self, e: io.Event) -> list[io.Action]:
+        if isinstance(e, io.ServerList):
+            if e.kind in ("full", "remembered"):
+                self.ready = {}
+            for x in e.entries:
+                self.ready[x.server] = x.state == "ready"
+        if isinstance(e, io.Request):
+            return self.on_request(e)
+        if isinstance(e, io.AttemptEnded) and not e.done:
+            return [io.Fail(e.id)]
+        return []
+
+    def first(self) -> str:
+        return next((s for s, ready in self.ready.items() if ready), next(iter(self.ready)))
+
+    def on_request(self, e: io.Request) -> list[io.Action]:
+        return [io.Send(e.id, self.first(), e.deadline_us - self.now - 10_000)]
+
+
+__all__ = ["Day", "PATH", "PolicyFailed", "Scripted", "SMALL", "day", "experiment"]
--- /dev/null
+++ b/tests/lab/test_faults.py
@@ -0,0 +1,181 @@
+"""Each fault does what it says."""
+
+from __future__ import annotations
+
+import pytest
+
+from glenrock.lab import spec
+from glenrock.lab.faults import FAULTS
+from wheatrouter import interface as io
+
+from .days import Scripted, day
+
+
+def at(d, second: float):
+    d.engine.run(d.begin_us + round(second * 1e6))
+    return d
+
+
+def with_fault(policy: str = "random", make=None, **fault):
+    over = fault.pop("over", {})
+    d = day(policy=policy, make=make, faults=[fault], **over)
+    d.prepare()
+    return d
+
+
+def test_every_kind_of_fault_is_played() -> None:
+    assert set(FAULTS) == set(spec.FAULTS)
+
+
+def test_a_crash_ends_a_part_which_comes_back_cold_and_is_told_of_late() -> None:
+    d = with_fault(kind="crash", at_s=3.0, part=0.5, down_s=4.0, over={"discovery": {"notice_s": 1.0, "add_s": 0.5}})
+    at(d, 3.01)
+    down = [i for i in d.instances.values() if not i.up]
+    assert len(down) == 2 and not any(i.held for i in down)
+    assert all(d.feed.rows[i.name].state == "ready" for i in down)
+    at(d, 4.2)
+    assert all(d.hosts[0].last[i.name].state == "gone" for i in down)
+    at(d, 7.1)
+    assert all(i.up and i.started == d.begin_us + 7_000_000 and i.warmth(d.engine.now) < 0.5 for i in down)
+    at(d, 8.0)
+    row = d.hosts[0].last[down[0].name]
+    assert row.state == "ready" and row.started_us == down[0].started
+
+
+def test_a_crash_without_return_stays_down() -> None:
+    d = at(with_fault(kind="crash", at_s=3.0, part=1.0, down_s=0.0), 12.0)
+    assert not any(i.up for i in d.instances.values())
+    assert not d.standing
+
+
+def test_a_cut_zone_is_reached_by_nobody_else_and_its_links_carry_nothing() -> None:
+    d = with_fault(kind="zone_cut", at_s=3.0, for_s=4.0, zone="b")
+    at(d, 3.0)
+    crossing = [c for i in d.instances.values() for c in i.held.values()
+                if d.hosts[c.host].zone != i.shape.zone]
+    assert crossing and all(c.muted and c.load == 0 for c in crossing)
+    assert not d.links.open(0, 1) and d.links.open(1, 1)
+    seen = {c: c.earned for c in crossing}
+    at(d, 6.9)
+    for i in d.instances.values():
+        i.advance(d.engine.now)
+    assert all(c.earned == e for c, e in seen.items() if c.attempt in c.attempt.instance.held)
+    at(d, 7.1)
+    assert d.links.open(0, 1)
+    assert not any(c.muted for i in d.instances.values() for c in i.held.values())
+
+
+def test_attempts_into_a_cut_zone_end_unconnected_after_the_dial_time() -> None:
+    class Across(Scripted):
+        def first(self) -> str:
+            return list(self.ready)[-1]  # of the last zone
+
+    d = with_fault(make=Across, kind="zone_cut", at_s=1.0, for_s=10.0)
+    at(d, 5.0)
+    ends = [e for e in d.hosts[0].decisions.events if isinstance(e, io.AttemptEnded) and e.verdict == "no_connection"]
+    assert ends and all(e.latency_us == 200_000 for e in ends)
+
+
+def test_a_roll_restarts_balancers_in_batches_with_nothing_but_the_list() -> None:
+    d = with_fault(kind="balancer_roll", at_s=2.0, for_s=4.0, part=1.0, batch=0.25, down_s=0.5,
+                   over={"fleet": {"balancers": 4}})
+    down = []
+    for n in range(24):
+        at(d, 2.05 + n * 0.25)
+        down.append(sum(not h.up for h in d.hosts))
+    assert max(down) == 1 and sum(n > 0 for n in down) >= 6
+    assert all(h.up and h.life == 3 for h in d.hosts)
+    assert not d.judge.counts["cut off"]
+
+
+def test_a_roll_that_hands_back_moves_its_clients_first() -> None:
+    d = with_fault(kind="balancer_roll", at_s=2.0, for_s=3.0, part=1.0, batch=0.5, down_s=0.5, hand_back_s=1.0)
+    at(d, 10.0)
+    assert d.measure.counts["moved"] > 10
+    assert not d.judge.counts["cut off"]
+
+
+def test_a_reconnect_drops_a_part_which_comes_again_within_the_time() -> None:
+    d = with_fault(kind="reconnect", at_s=4.0, part=0.5, within_s=1.0)
+    at(d, 3.99)
+    before = len(d.standing)
+    at(d, 4.0)
+    assert len(d.standing) == pytest.approx(before / 2, abs=2)
+    at(d, 5.5)
+    assert len(d.standing) > 0.8 * before
+
+
+def test_a_slow_part_has_its_speed_for_a_while_and_a_frozen_one_answers_nothing() -> None:
+    d = with_fault(kind="slow", at_s=2.0, part=0.5, speed=0.25, for_s=3.0)
+    whole = [i.capacity(d.engine.now) for i in d.instances.values()]
+    at(d, 2.1)
+    assert sorted(i.capacity(d.engine.now) / w for i, w in zip(d.instances.values(), whole, strict=True)) == (
+        pytest.approx([0.25, 0.25, 1, 1]))
+    at(d, 5.1)
+    assert [i.capacity(d.engine.now) for i in d.instances.values()] == pytest.approx(whole)
+
+    d = with_fault(make=Scripted, kind="slow", at_s=2.0, part=1.0, speed=0.0, for_s=20.0)
+    at(d, 10.0)
+    ends = [e for e in d.hosts[0].decisions.events if isinstance(e, io.AttemptEnded)]
+    late = [e for e in ends if e.verdict == "timeout"]
+    assert late and all(e.latency_us > 1_000_000 for e in late)
+
+
+def test_silent_discovery_tells_it_all_afterwards() -> None:
+    d = day(faults=[{"kind": "discovery_silence", "at_s": 1.0, "for_s": 6.0},
+                    {"kind": "crash", "at_s": 2.0, "part": 0.5, "down_s": 0.0}],
+            discovery={"notice_s": 0.5})
+    d.prepare()
+    at(d, 6.9)
+    assert all(r.state == "ready" for r in d.hosts[0].last.values())
+    at(d, 7.2)
+    assert sum(r.state == "gone" for r in d.hosts[0].last.values()) == 2
+
+
+def test_a_stale_list_is_what_balancers_start_with() -> None:
+    d = day(faults=[{"kind": "crash", "at_s": 1.0, "part": 0.5, "down_s": 0.0},
+                    {"kind": "discovery_silence", "at_s": 4.0, "for_s": 8.0},
+                    {"kind": "stale_list", "at_s": 4.0, "for_s": 4.0, "age_s": 10.0},
+                    {"kind": "balancer_roll", "at_s": 5.0, "for_s": 0.1, "part": 1.0, "batch": 1.0, "down_s": 0.2}],
+            discovery={"notice_s": 0.5})
+    d.prepare()
+    at(d, 4.9)
+    assert sum(r.state == "gone" for r in d.hosts[0].last.values()) == 2
+    at(d, 6.0)
+    assert [r.state for r in d.hosts[0].last.values()] == ["ready"] * 4
+
+
+def test_a_flash_crowd_and_a_flood_bring_what_they_say() -> None:
+    for fault, whose in (({"kind": "flash_crowd", "times": 5.0}, {0, 1}),
+                         ({"kind": "tenant_flood", "times": 5.0, "tenant": "two"}, {1})):
+        plain = day(traffic={"load": 0.6})
+        d = day(faults=[{**fault, "at_s": 4.0, "for_s": 4.0}], traffic={"load": 0.6})
+
+        def come(x, tenant, a, b):
+            return sum(a <= r.arrival / 1e6 < b and r.tenant == tenant for r in x.plan.rows)
+        for tenant in (0, 1):
+            usual, now = come(plain, tenant, 0, 12) / 12 * 4, come(d, tenant, 4, 8)
+            assert now == pytest.approx((5 if tenant in whose else 1) * usual, rel=0.45)
+            assert come(d, tenant, 8, 12) == come(plain, tenant, 8, 12)
+
+
+def test_a_deploy_wave_drains_stops_and_starts() -> None:
+    d = with_fault(kind="drains", at_s=1.0, part=0.5, batch=0.25, every_s=3.0, drain_s=2.0, down_s=1.0,
+                   over={"discovery": {"notice_s": 0.3}})
+    at(d, 1.5)
+    (first,) = [i for i in d.instances.values() if i.draining]
+    assert first.up and d.hosts[0].last[first.name].state == "draining"
+    at(d, 3.1)
+    assert not first.up
+    at(d, 4.5)
+    assert first.up and first.started and sum(i.draining for i in d.instances.values()) == 1
+
+
+def test_peer_messages_are_lost_for_a_while() -> None:
+    d = with_fault(policy="glenrock", kind="peer_loss", at_s=3.0, for_s=6.0, loss=1.0)
+    at(d, 3.2)
+    before = d.measure.counts["peer_bytes"]
+    at(d, 9.0)
+    assert d.measure.counts["peer_bytes"] == before
+    at(d, 16.0)
+    assert d.measure.counts["peer_bytes"] > before
--- /dev/null
+++ b/tests/lab/test_hard_cases.py
@@ -0,0 +1,173 @@
+"""What is easily got wrong: messages that cross, old news, ends in the middle of things."""
+
+from __future__ import annotations
+
+import pytest
+
+from glenrock.lab.engine import HeapEngine
+from wheatrouter import interface as io
+
+from .days import Scripted, day
+
+
+def at(d, second: float):
+    d.engine.run(d.begin_us + round(second * 1e6))
+    return d
+
+
+def test_events_at_one_instant_run_in_the_order_in_which_they_were_scheduled() -> None:
+    e, seen = HeapEngine(100), []
+    for n in range(5):
+        e.at(200, seen.append, n)
+    e.at(150, lambda: e.at(200, seen.append, "later"))
+    e.at(50, seen.append, "past is now")
+    e.run(200)
+    assert seen == ["past is now", 0, 1, 2, 3, 4, "later"] and e.now == 200 and e.events == 8
+
+
+def test_a_crash_in_the_middle_of_a_set_up_breaks_the_attempt_and_leaves_nothing() -> None:
+    long = [{"name": "job", "setup_ms": 4000.0, "setup_spread": "fixed", "give_up_ms": 9000.0}]
+    d = day(make=Scripted, classes=long, faults=[{"kind": "crash", "at_s": 2.0, "part": 1.0, "down_s": 0.5}])
+    d.prepare()
+    at(d, 1.99)
+    setting = [a for i in d.instances.values() for a, ready in i.opening.items() if not ready]
+    assert setting
+    at(d, 2.05)
+    ends = [e for h in d.hosts for e in h.decisions.events if isinstance(e, io.AttemptEnded) and e.verdict == "broken"]
+    assert {e.id for e in ends} >= {a.flow.id for a in setting}
+    assert not any(i.opening or i.queue or i.running for i in d.instances.values() if not i.up)
+    at(d, 9.0)  # jobs of the old process do not end in the new one
+    assert all(i.running >= 0 and i.busy >= 0 for i in d.instances.values())
+
+
+def test_an_instance_that_returns_cold_during_a_zone_cut_is_unknown_across_it_until_links_are_whole() -> None:
+    d = day(policy="glenrock", length_s=20.0, fleet={"balancers": 2, "instances": 6},
+            faults=[{"kind": "zone_cut", "at_s": 3.0, "for_s": 8.0},
+                    {"kind": "crash", "at_s": 4.0, "part": 0.5, "down_s": 2.0}], discovery={"notice_s": 0.5})
+    s = d.run()
+    assert not s["failure"] and not any(s["rules"].values())
+    assert sum(1 for i in d.instances.values() if i.started) == 3
+
+
+def test_a_balancer_killed_with_clients_in_line_loses_the_line_and_answers_afresh() -> None:
+    d = day(policy="glenrock", length_s=20.0, traffic={"load": 1.6}, fleet={"balancers": 1, "instances": 2}, faults=[
+        {"kind": "balancer_roll", "at_s": 10.0, "for_s": 0.1, "part": 1.0, "batch": 1.0, "down_s": 0.5}])
+    d.prepare()
+    at(d, 9.9)
+    (host,) = d.hosts
+    assert host.decisions.line
+    at(d, 10.2)
+    assert not host.up
+    at(d, 10.6)
+    assert host.up and not host.decisions.line and host.decisions.servers
+    d.engine.run(d.begin_us + 24_000_000)
+    assert not any(d.judge.counts.values()), d.judge.breaches
+
+
+def test_a_report_may_be_older_than_the_restart_that_it_describes() -> None:
+    d = day(reports={"period_ms": 400.0, "delay_ms": 300.0, "noise": 0.0},
+            faults=[{"kind": "crash", "at_s": 3.0, "part": 1.0, "down_s": 0.1}])
+    d.prepare()
+    at(d, 3.15)
+    for i in d.instances.values():
+        told = i.reported(d.engine.now - 300_000)
+        when = next(at for at, r in i.reports if r is told)
+        assert i.up and when < i.started and told["inflight"] > len(i.held)
+    at(d, 4.5)
+    for i in d.instances.values():
+        told = i.reported(d.engine.now - 300_000)
+        assert next(at for at, r in i.reports if r is told) > i.started
+
+
+def test_a_retry_that_meets_the_late_answer_of_its_first_try() -> None:
+    slow = [{"name": "job", "setup_ms": 300.0, "setup_spread": "fixed"}]
+    d = day(make=Scripted, classes=slow, clients={"impatient": 1.0, "backoff_ms": 1.0}, network={"client_ms": 30.0},
+            kinds=[{"name": "k", "cores": 64}])
+    s = d.run()
+    assert s["counts"]["left"] > 20
+    held = [c for i in d.instances.values() for c in i.held.values()]
+    assert len({c.client for c in held}) == len(held), "a client stands twice"
+    assert all(c.client.connection is c for c in held)
+    assert not any(s["rules"].values())
+
+
+def test_a_move_that_crosses_the_end_is_no_end_of_anything_else() -> None:
+    class Mover(Scripted):
+        """Moves each connection again and again, and those that have ended too."""
+
+        def __init__(self, settings, seed):
+            super().__init__(settings, seed)
+            self.ids = []
+
+        def on(self, e):
+            out = super().on(e)
+            if isinstance(e, io.Started):
+                self.ids.append(e.id)
+            return out + [io.Move(i) for i in self.ids[-3:]]
+
+    d = day(make=Mover, clients={"move_ms": 5.0})
+    s = d.run()
+    assert s["counts"]["moved"] > 50
+    ends = [(e.id, e.attempt) for h in d.hosts for e in h.decisions.events if isinstance(e, io.AttemptEnded)]
+    assert len(ends) == len(set(ends)), "an attempt ended twice"
+    assert not any(s["rules"].values())
+
+
+def test_a_message_outlives_its_sender() -> None:
+    class Teller(Scripted):
+        def on(self, e):
+            told = [io.Tell(b"%d" % self.now)] if isinstance(e, io.Request) else []
+            return super().on(e) + told
+
+    d = day(make=Teller, network={"peer_ms": 0.0, "peer_loss": 0.0, "cross_ms": 400.0, "jitter": 0.0},
+            faults=[{"kind": "balancer_roll", "at_s": 5.0, "for_s": 0.1, "part": 0.5, "batch": 0.5, "down_s": 3.0}])
+    d.prepare()
+    at(d, 5.0)
+    (dead,), (alive,) = [h for h in d.hosts if not h.up], [h for h in d.hosts if h.up]
+    at(d, 5.39)
+    late = [e for e in alive.decisions.events if isinstance(e, io.PeerMessage) and int(e.data) > d.begin_us + 4_620_000]
+    assert late and all(e.peer == dead.index for e in late)
+
+
+def test_all_instances_gone() -> None:
+    s = day(policy="glenrock", faults=[{"kind": "crash", "at_s": 3.0, "part": 1.0, "down_s": 0.0}]).run()
+    assert not s["failure"] and not any(s["rules"].values())
+    assert s["counts"]["refused"] > 0 and s["recovery_s"][0]["recovery_s"] is None
+
+
+def test_a_clock_past_2_to_the_53() -> None:
+    usual = day(policy="glenrock", seed=2).run()
+    late = day(policy="glenrock", seed=2, clock_start_s=(2 ** 53 + 1) / 1e6 * 1.5).run()
+    assert not late["failure"] and not any(late["rules"].values())
+    assert late["worth"]["whole"] == pytest.approx(usual["worth"]["whole"], abs=0.02)
+
+
+@pytest.mark.parametrize("broken", [
+    "raise ValueError('no')", "return ['nonsense']", "return [io.Send('x', 'nowhere:1', 5)]",
+    "return [io.Probe('nowhere:1')]", "return [io.Tell(bytes(257))]", "return [io.Cancel('x', 0)]"])
+def test_a_policy_that_raises_or_asks_for_what_is_not_there_ends_the_run_with_its_reason(broken: str) -> None:
+    class Broken(Scripted):
+        def on_request(self, e):
+            scope = {"io": io}
+            exec(f"def act():\n    {broken}", scope)
+            out = scope["act"]()
+            return [io.Send(e.id, a.server, 5) if isinstance(a, io.Send) else a for a in out]
+
+    s = day(make=Broken).run()
+    assert s["failure"] and s["worth"] is None
+    assert "\n" not in s["failure"]
+
+
+def test_constants_of_the_module_are_set_for_the_run_alone() -> None:
+    from wheatrouter import rules
+
+    before = rules.CAP_CUT
+    seen = []
+
+    class Looks(rules.Balancer):
+        def handle(self, now_us, events):
+            seen.append(rules.CAP_CUT)
+            return super().handle(now_us, events)
+
+    day(make=Looks, constants={"CAP_CUT": 0.5}).run()
+    assert set(seen) == {0.5} and rules.CAP_CUT == before
