--- /dev/null
+++ b/benchmarks/ring_lists.py
@@ -0,0 +1,45 @@
+"""A first list of servers: the ring's one change against inserting point by point, in one run."""
+
+from __future__ import annotations
+
+import time
+from bisect import bisect_left
+
+from wheatrouter import Balancer
+from wheatrouter import interface as io
+from wheatrouter.records import code_of
+from wheatrouter.ring import points
+
+
+def point_by_point(names: list[str]) -> float:
+    begun = time.process_time()
+    there: list[int] = []
+    servers: list[str] = []
+    for name in names:
+        for point in points(code_of(name)):
+            at = bisect_left(there, point)
+            there.insert(at, point)
+            servers.insert(at, name)
+    return time.process_time() - begun
+
+
+def as_a_list(names: list[str]) -> float:
+    balancer = Balancer(io.Settings(classes=(io.RequestClass("r", 300_000, 1_000_000),), zone="a",
+                                    price_cross_zone=0.02), 1)
+    told = io.ServerList("full", tuple(io.ServerEntry(n, "ready", "ab"[k % 2]) for k, n in enumerate(names)))
+    begun = time.process_time()
+    balancer.handle(1_000_000, [told])
+    return time.process_time() - begun
+
+
+def main() -> None:
+    print("servers   one list, whole module   points inserted one by one (one ring)   ratio")
+    for count in (500, 2000, 5000, 10_000):
+        names = [f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:80" for n in range(count)]
+        ours = min(as_a_list(names) for _ in range(5))
+        plain = min(point_by_point(names) for _ in range(2))
+        print(f"{count:7} {ours * 1000:21.1f} ms {plain * 1000:33.1f} ms {plain / ours:18.1f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/glenrock/cli/lab_compare.py
+++ b/glenrock/cli/lab_compare.py
@@ -14,14 +14,18 @@
 
 
 def runs_of(what: str, seeds: list[int], jobs: int, over: dict[str, Any]) -> list[dict[str, Any]]:
-    """A folder of results, or FILE@POLICY to be played now."""
+    """A folder of results (DIR@POLICY: one policy's), or FILE@POLICY to be played now."""
     from ..lab import record, runner, spec
 
-    folder = Path(what)
+    name, at, policy = what.rpartition("@")
+    folder = Path(name) if at and Path(name).is_dir() else Path(what)
     if folder.is_dir():
         files = sorted((folder / "runs").glob("*.json")) or [folder / "summary.json"]
-        return runner.order([{"where": {}, **record.read_summary(f)} for f in files])
-    name, at, policy = what.rpartition("@")
+        found = [{"where": {}, **record.read_summary(f)} for f in files]
+        found = [s for s in found if folder == Path(what) or s["policy"] == policy]
+        if len({s["policy"] for s in found}) != 1:
+            raise BadFile(f"{what}: holds {len({s['policy'] for s in found})} policies; name one as DIR@POLICY")
+        return runner.order(found)
     if not at:
         raise BadFile(f"{what}: neither a folder of results nor FILE@POLICY")
     points = spec.points(Path(name), over)
@@ -38,7 +42,7 @@
 def command(a: str, b: str, seeds: str, jobs: int, out: Path | None, over: tuple[str, ...]) -> None:
     """Pair A and B by seed: difference, 95% interval and sign test of each measure.
 
-    A and B are folders of results, or FILE@POLICY, which is played now.
+    A and B are folders of results, DIR@POLICY for one policy of a folder, or FILE@POLICY, which is played now.
 
     \b
     Examples:
--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -9,6 +9,7 @@
 import gc
 import sys
 import time
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import asdict
 from math import exp
@@ -29,6 +30,7 @@
 from .model.instance import Connection, Figures, Instance, Shape
 from .model.links import Links
 from .policies import module
+from .policies.oracle import Oracle
 from .rules import Judge
 from .spec import Experiment, drawn, settings_of
 from .streams import Streams
@@ -86,7 +88,10 @@
 
         def build(index: int, life: int) -> Decisions:
             zone = self.zones[index % len(self.zones)]
-            return maker(settings_of(self.e, index, zone, self.plan.quotas), fixed[index] + life)
+            made = maker(settings_of(self.e, index, zone, self.plan.quotas), fixed[index] + life)
+            if isinstance(made, Oracle):
+                made.see(self, self.hosts[index])
+            return made
 
         self.hosts = [Host(n, n % len(self.zones), self.engine, self, max(1, round(e.platform.tick_ms * 1000)), build)
                       for n in range(int(e.fleet.balancers))]
@@ -170,7 +175,7 @@
             self.measure.counts["clients"] += 1
             client = Client(row, tries=1, again=True)
             among, sums = by_zone[row.zone]
-            i = among[min(len(among) - 1, int(np.searchsorted(sums, draw() * sums[-1], side="right")))]
+            i = among[min(len(among) - 1, bisect_right(sums, draw() * sums[-1]))]
             host = self.front.pick(row.zone)
             if not host:
                 continue
--- a/glenrock/lab/policies/__init__.py
+++ b/glenrock/lab/policies/__init__.py
@@ -10,7 +10,7 @@
 from wheatrouter import interface as io
 
 from ..model.balancer import Decisions
-from . import choices, module, prequal
+from . import choices, module, oracle, prequal
 
 Maker = Callable[[io.Settings, int], Decisions]
 
@@ -23,6 +23,7 @@
     "weighted": (choices.Weighted, "drawn by the room that load reports show; reports are asked evenly"),
     "join_idle": (choices.JoinIdle, "one known to be idle, else drawn (Lu et al., 2011)"),
     "prequal": (prequal.Prequal, "a pool of probes, hot and cold (Wydrowski et al., NSDI 2024)"),
+    "oracle": (oracle.Oracle, "a yardstick: sees the true state of all instances and links"),
 }
 
 
--- a/glenrock/lab/policies/simple.py
+++ b/glenrock/lab/policies/simple.py
@@ -30,7 +30,6 @@
     report: dict[str, float] = field(default_factory=dict)
     report_at: int = -1 << 60
     leaves_by: int = 0
-    down_until: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -54,6 +53,7 @@
         self.refs = 0
         self.out: list[io.Action] = []
         self.watched = False
+        self.down: dict[str, int] = {}  # out of reach when last tried: not used again before then
 
     def handle(self, now_us: int, events: list[io.Event]) -> list[io.Action]:
         first, self.now, self.out = not self.now, now_us, []
@@ -126,8 +126,12 @@
         if not f.event.midflow and len(f.tried) >= self.set.max_attempts:
             self.refuse(f)
             return
-        usable = [s for s in self.ready if s.down_until <= self.now] or self.ready
-        among = [s for s in usable if s not in f.tried] or usable
+        among = self.ready
+        if self.down and min(self.down.values()) <= self.now:
+            self.down = {k: until for k, until in self.down.items() if until > self.now}
+        if f.tried or self.down:  # else all are usable, and no list of thousands is made for each request
+            usable = [s for s in self.ready if s.id not in self.down] or self.ready
+            among = [s for s in usable if s not in f.tried] or usable
         if not among or self.now >= f.event.deadline_us - MARGIN_TICKS * self.set.tick_us:
             self.refuse(f)
             return
@@ -149,13 +153,13 @@
         if f and f.out:
             f.stands = True
             f.out.held[e.id] = None
-            f.out.down_until = 0
+            self.down.pop(f.out.id, None)
 
     def on_ended(self, e: io.AttemptEnded) -> None:
         s = self.servers.get(e.server)
         f = self.asked.get(e.id)
         if s and e.verdict == "no_connection":
-            s.down_until = self.now + 1_000_000
+            self.down[s.id] = self.now + 1_000_000
         if f is None or f.out is None or s is not f.out:
             return
         f.out.mine -= 1
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -285,7 +285,7 @@
         # Servers of which something is known now; a few of them move the mean only so far.
         since = self.now - FEEDBACK_US
         # Danger: servers just started are empty but may not be filled: their room is not the fleet's yet.
-        warm = [s for s in self.servers.values() if s.ready and self.warmth(s) >= 1]
+        warm = [s for s in self.servers.values() if s.ready and (not s.started_us or self.warmth(s) >= 1)]
         self.warm = len(warm) or self.warm
         seen = [(s, min(3.0, self.belief(s))) for s in warm
                 if not s.failures and (s.load_at > since or s.held and self.set.tells_delay)]
@@ -478,13 +478,14 @@
 
     # == placing and retrying ======================================================================
 
+    def may_try(self, f: Flow) -> bool:
+        """Whether a request may go anywhere at all. Two attempts at once are never needed here."""
+        return not (f.answered or f.server or len(f.attempts) >= self.set.max_attempts
+                    or any(not a.verdict for a in f.attempts) or self.now >= f.event.deadline_us - self.margin_us)
+
     def may_send(self, f: Flow, s: Server) -> bool:
         """The one place that says whether a request may be sent (again), and where."""
-        if f.answered or f.server or len(f.attempts) >= self.set.max_attempts:
-            return False
-        if any(not a.verdict for a in f.attempts):
-            return False  # two attempts at once are never needed here
-        if self.now >= f.event.deadline_us - self.margin_us or not self.may_take(s, f.load):
+        if not self.may_try(f) or not self.may_take(s, f.load):
             return False
         first = next((a for a in f.attempts if a.verdict not in io.NEVER_RAN), None)
         if first is None or f.kind.effect == "safe":
@@ -530,7 +531,7 @@
         return found
 
     def place(self, f: Flow) -> None:
-        f.choice = self.candidates(f) if self.setups >= 1 else []
+        f.choice = self.candidates(f) if self.setups >= 1 and self.may_try(f) else []
         if not f.choice:
             self.hold(f)
             return
@@ -644,13 +645,15 @@
         """Above capacity a server serves nobody in time. Each balancer takes its part of the excess away."""
         scarce = self.fleet > HIGH  # no room elsewhere: the least worth goes back to the line
         for s in self.servers.values():
+            if not s.held or s.leaves_by:
+                continue
             load = self.belief(s)
             if not scarce and self.now - s.late_at < NOTE_US:
                 load = max(load, LATE)  # where there is room, late messages are enough
             # Danger: one that loses its capacity mostly goes on to drop all it holds: little is left there,
             # and it goes early.
             slow = s.part <= SLOW and not scarce
-            if load <= (TARGET if slow else MOVE_AT) or not s.held or s.leaves_by:
+            if load <= (TARGET if slow else MOVE_AT):
                 continue
             # Danger: work piled up keeps messages late long after enough has left; without a report of the
             # load asked, wait for it to drain before taking more.
