Believe a link between zones cut by a sequential test, and take it back as a whole

Cause: each server of a cut zone was learned about alone, two failed attempts each, and stayed out of use for up to 16 s of its own after the link was whole.

--- /dev/null
+++ b/glenrock/lab/day_processes.py
@@ -0,0 +1,143 @@
+"""A day's processes and links: what faults do to them. Part of `Day`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .measure import ratio
+from .model.balancer import Flow, Host
+from .model.instance import Connection, Instance
+
+if TYPE_CHECKING:
+    from .day import Day
+
+S = 1_000_000
+
+
+class Processes:
+    # -- processes -----------------------------------------------------------------------------------
+
+    def stop(self: Day, i: Instance) -> None:
+        """The process dies: connections are reset, and discovery finds out later."""
+        if not i.up:
+            return
+        self.judge.seen(self.engine.now, "stops", "", i.name)
+        now = self.engine.now
+        standing, setting = i.stop(now)
+        for a in setting:
+            self.instance_says(a, "broken")
+        for c in standing:
+            self.lost(c)
+        self.feed.tell(float(self.e.discovery.notice_s), i.name, "gone")
+
+    def lost(self: Day, c: Connection) -> None:
+        """Its instance is gone. The balancer hears of it, unless the link is cut."""
+        f = c.attempt.flow
+        if self.links.open(f.host.zone, c.attempt.instance.shape.zone):
+            self.break_(c, "broken")
+        else:
+            self.engine.at(self.engine.now + self.silence_us, self.silent, c)
+
+    def silent(self: Day, c: Connection) -> None:
+        if c.attempt.out and c.client.connection is c:
+            self.break_(c, "broken")
+
+    def begin(self: Day, i: Instance) -> None:
+        if i.up or i.fallen:
+            return
+        self.judge.seen(self.engine.now, "starts", "", i.name)
+        i.begin(self.engine.now)
+        self.feed.tell(float(self.e.discovery.add_s), i.name, "ready", i.started)
+
+    def fall_over(self: Day, i: Instance) -> None:
+        """Pushed over while cold. The rule is broken if two thirds of it came from balancers told of its start."""
+        told = sum(load for _, load, knew in i.sent if knew)
+        part = ratio(told, i.sent_load)
+        text = f"{i.name} fell over {(self.engine.now - i.started) / S:.2f} s after its start; told sent {part:.0%}"
+        if part >= 2 / 3:
+            self.judge.breach(self.engine.now, "cold", text, -1, "", i.name)
+        else:
+            self.judge.seen(self.engine.now, "falls over, untold", "", i.name)
+        self.stop(i)
+
+    def drain(self: Day, i: Instance) -> None:
+        if i.up and not i.draining:
+            self.judge.seen(self.engine.now, "drains", "", i.name)
+            i.draining = True
+            self.feed.tell(0.0, i.name, "draining")
+
+    def stop_if_draining(self: Day, i: Instance) -> None:
+        if i.draining:
+            self.stop(i)
+
+    def cut_zone(self: Day, zone: int) -> None:
+        """Its links to the others carry nothing from now on."""
+        self.judge.seen(self.engine.now, f"zone {self.zones[zone]} is cut", "", "")
+        self.links.cut.add(zone)
+        for c in self.crossing():
+            c.attempt.instance.mute(self.engine.now, c, True, 0.0)
+            # A client's line that stays unanswered gives it away: lines come every two seconds.
+            self.engine.at(self.engine.now + self.silence_us + round(2 * S * self.habits.draw()), self.mute_silent, c)
+
+    def mute_silent(self: Day, c: Connection) -> None:
+        if c.muted and c.client.connection is c:
+            self.break_(c, "broken")
+
+    def heal(self: Day, zone: int) -> None:
+        self.links.cut.discard(zone)
+        for c in self.crossing():
+            if c.muted and self.links.open(c.attempt.flow.host.zone, c.attempt.instance.shape.zone):
+                c.attempt.instance.mute(self.engine.now, c, False, self.load_of(c.client))
+
+    def crossing(self: Day) -> list[Connection]:
+        return [c for i in self.instances.values() for c in i.held.values()
+                if not self.links.open(c.attempt.flow.host.zone, i.shape.zone) or c.muted]
+
+    def hand_back(self: Day, host: Host, over_us: int) -> None:
+        """A planned end: its clients are moved away evenly over most of that time, and new ones are served."""
+        host.leaving_self = True
+        held = [f for f in host.flows.values() if f.standing and f.standing.out]
+        for n, f in enumerate(held):
+            self.engine.at(self.engine.now + over_us * 9 // 10 * n // len(held), self.moved, f)
+        self.engine.at(self.engine.now + over_us * 19 // 20, self.move_rest, host, host.life)
+        if host in self.front.known[host.zone]:
+            self.front.known[host.zone].remove(host)
+
+    def move_rest(self: Day, host: Host, life: int) -> None:
+        if host.life == life:
+            for f in [f for f in host.flows.values() if f.standing and f.standing.out]:
+                self.moved(f)
+
+    def kill(self: Day, host: Host, life: int, planned: bool) -> None:
+        if host.life != life or not host.up:
+            return
+        self.judge.seen(self.engine.now, f"balancer {host.index} ends", "", "")
+        for f in host.end():
+            a = f.standing
+            if a and a.out and a.connection:
+                if planned:
+                    self.breach("cut off", "still held at the end of a planned restart", f, a.instance.name)
+                a.out = False
+                self.break_(a.connection, "broken", quiet=True)
+                continue
+            for a in f.attempts:
+                if a.out:
+                    a.out = False
+                    self.give_up(a)
+            if not f.end:
+                host.conclude(f, "killed")
+                if f.client.flow is f:
+                    self.again_after_end(f)
+            f.over = True
+        self.front.stopped(host)
+
+    def again_after_end(self: Day, f: Flow) -> None:
+        """Its balancer has ended before it answered."""
+        f.client.flow = None
+        self.engine.at(self.engine.now + self.links.to_client(), self.again_if_free, f.client, f.client.tries, None)
+
+    def start(self: Day, host: Host) -> None:
+        if not host.up:
+            host.begin(self.feed.at_start(host))
+            self.feed.joined(host)
+            self.front.started(host)
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -10,6 +10,7 @@
 
 from . import interface as io
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
+from .recovery.domains import Domains
 from .ring import MASK, mix, points
 from .summary import decode, encode
 
@@ -57,6 +58,7 @@
         self.set = s = settings
         self.classes = {c.name: c for c in s.classes}
         self.late_load = LATE
+        self.domains = Domains()  # links to other zones
         self.rng = random.Random(seed)
         self.salt = self.rng.getrandbits(64)
         # Session Duration: a client cut off comes back within the longest retry-after or so.
@@ -79,6 +81,11 @@
             spread = min(self.set.ask_within_us / 3, self.set.balancers * S / 5)
             self.ask_at = now_us + int(self.rng.random() * spread)
             self.timer(now_us + 1 + int(self.rng.random() * ROUND_US), "")
+        for zone in self.domains.settle(now_us):
+            # What failed is the link, and no server: none of them is out of use for it when the link is whole.
+            for s in self.servers.values():
+                if s.zone == zone:
+                    s.failures = s.down_until = 0
         for event in events:
             if handler := self.handlers.get(type(event)):
                 handler(event)
@@ -134,7 +141,15 @@
     def may_take(self, s: Server, load: float) -> bool:
         """The one place that says whether a server may be sent new work now."""
         # Danger: a send after a drain notice breaks the drain; so nothing goes there once it is known.
-        return s.ready and (self.now >= s.down_until or self.none_left) and self.cold_room(s) >= load
+        return s.ready and (self.usable(s) or self.none_left) and self.cold_room(s) >= load
+
+    def usable(self, s: Server) -> bool:
+        return self.now >= s.down_until and self.domains.may_use(self.now, s.zone, s.code)
+
+    def reached(self, s: Server, answers: bool) -> None:
+        """Evidence on the link to its zone."""
+        if s.zone != self.set.zone:
+            self.domains.saw(s.zone, s.id, answers)
 
     def warmth(self, s: Server) -> float:
         """The part of its capacity that a server surely has by now."""
@@ -205,8 +220,9 @@
 
     def failed(self, s: Server) -> None:
         """Out of reach twice in a row: out of use for a while that doubles, then tried again."""
+        self.reached(s, False)
         s.failures = min(s.failures + 1, 6)
-        if s.failures > 1:
+        if s.failures > 1 and not self.domains.cut(s.zone):
             s.down_until = self.now + int(S / 4 * 2 ** s.failures * (0.75 + self.rng.random() / 2))
         self.cut(s)
 
@@ -227,6 +243,7 @@
         s.probe_at = -1
         if e.verdict == "served":
             s.failures = 0
+            self.reached(s, True)
             self.learn_report(s, e.report)
         elif e.verdict in ("no_connection", "timeout"):
             self.failed(s)  # out of reach says nothing of its load, nor of the fleet's
@@ -514,7 +531,7 @@
         if not self.ring:
             return found
         # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
-        self.none_left = all(self.now < s.down_until for s in self.servers.values() if s.ready)
+        self.none_left = not any(s.ready and self.usable(s) for s in self.servers.values())
         for n in range(16):
             ring = self.local if self.local and (n % 2 == 0 or n > 8) else self.ring
             s = ring.at(mix(seed + n))
@@ -594,6 +611,7 @@
         f.server, f.answered = s, True
         s.held[e.id] = f
         s.failures = 0
+        self.reached(s, True)
         self.well += 1
 
     def on_ended(self, e: io.AttemptEnded) -> None:
@@ -747,6 +765,9 @@
             # Of the longest unheard: a draw left one that had become slow unseen for six seconds.
             self.probe(min((s for s in self.servers.values() if s.ready),
                            key=lambda s: (s.probe_at >= 0, s.load_at, s.code)))
+        for zone in self.domains.to_ask(self.now):
+            if there := [s for s in self.servers.values() if s.ready and s.zone == zone]:
+                self.probe(min(there, key=lambda s: (s.probe_at >= 0, s.load_at, s.code)))
         if not self.set.tells_delay:  # nobody says that a server is slow, so each that holds ours is asked
             for s in self.servers.values():
                 stale = s.held and s.ready and self.now - s.load_at > FRESH_US
