--- a/wheatrouter/recovery/domains.py
+++ b/wheatrouter/recovery/domains.py
@@ -1,10 +1,10 @@
 """Beliefs on failure domains, each from a sequential test with stated error rates.
 
-One instance that fails says little of its zone's link; three of one zone that fail within a second, with none of
-that zone answering, say that the link is cut. Each domain is tested by Wald's sequential probability ratio test
-in Page's form: the log of the likelihood ratio is summed, never below 0, until it passes the bound that the
-wanted error rates set. (Wald 1945, Sequential Tests of Statistical Hypotheses; Page 1954, Continuous Inspection
-Schemes.)
+One instance that fails says little of its zone's link; three of one zone that fail within a second, with
+none of that zone answering, say that the link is cut. Each domain is tested by Wald's sequential probability
+ratio test in Page's form: the log of the likelihood ratio is summed, never below 0, until it passes the bound
+that the wanted error rates set. (Wald 1945, Sequential Tests of Statistical Hypotheses; Page 1954,
+Continuous Inspection Schemes.)
 
 Evidence counts once for each member and window, so that a single dead member, tried again and again, convicts
 nobody but itself. Without evidence a belief halves again and again towards none. Times are microseconds.
@@ -17,7 +17,7 @@
 
 SOUND_FAILS = 0.03  # chance that a member of a sound domain is found out of reach, by itself
 CUT_FAILS = 0.97  # and of one that is cut off
-FALSE_ALARM, MISSED = 0.0005, 0.05  # wanted rates: a sound domain convicted by one run of evidence; a cut one not
+FALSE_ALARM, MISSED = 0.0005, 0.05  # wanted rates: a sound domain convicted, a cut one not
 WINDOW_US = 1_000_000  # a member's evidence counts once in this time
 HALF_LIFE_US = 4_000_000  # of a belief without evidence
 NEUTRAL_US = 10_000_000  # a domain believed cut is tried again after this without evidence
@@ -45,14 +45,15 @@
 class Domains:
     """All domains of one balancer, by name.
 
-    What is seen is kept until `settle`, once a batch, so that the order within a batch does not matter: an answer
-    in it outweighs all failures in it.
+    What is seen is kept until `settle`, once a batch, so that the order within a batch does not matter: an
+    answer in it outweighs all failures in it.
     """
 
     def __init__(self) -> None:
         self.beliefs: dict[str, Belief] = {}
-        self.seen: dict[str, dict[str, None] | None] = {}  # by domain: members out of reach, or None: it answered
-        self.news: list[tuple[str, bool]] = []  # beliefs that the last batch turned, and whether to cut; for logs
+        # By domain: members out of reach, or None where one answered.
+        self.seen: dict[str, dict[str, None] | None] = {}
+        self.news: list[tuple[str, bool]] = []  # beliefs that the last batch turned, and whether to cut
 
     def saw(self, domain: str, member: str, answers: bool) -> None:
         """Evidence: a member answered, or was out of reach."""
@@ -101,7 +102,7 @@
         return b is not None and b.cut
 
     def part(self, now: int, domain: str) -> float:
-        """The part of its members that may be used: 0 while it is believed cut, 1 where nothing speaks against it."""
+        """The part of its members that may be used: 0 while it is believed cut, 1 if nothing speaks so."""
         b = self.beliefs.get(domain)
         if b is None:
             return 1.0
@@ -111,7 +112,7 @@
         return STEPS[step] if step < len(STEPS) else 1.0
 
     def may_use(self, now: int, domain: str, code: int) -> bool:
-        """Whether a member, known by a number of its own, belongs to the part in use. More are, step by step."""
+        """Whether a member, known by a number of its own, belongs to the part in use."""
         part = self.part(now, domain)
         return part >= 1 or (code >> 8 & 0xFF) < part * 256
 
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -82,7 +82,7 @@
             self.ask_at = now_us + int(self.rng.random() * spread)
             self.timer(now_us + 1 + int(self.rng.random() * ROUND_US), "")
         for zone in self.domains.settle(now_us):
-            # What failed is the link, and no server: none of them is out of use for it when the link is whole.
+            # What failed is the link, and no server: none is out of use for it once the link is whole.
             for s in self.servers.values():
                 if s.zone == zone:
                     s.failures = s.down_until = 0
@@ -498,7 +498,8 @@
     def may_try(self, f: Flow) -> bool:
         """Whether a request may go anywhere at all. Two attempts at once are never needed here."""
         return not (f.answered or f.server or len(f.attempts) >= self.set.max_attempts
-                    or any(not a.verdict for a in f.attempts) or self.now >= f.event.deadline_us - self.margin_us)
+                    or any(not a.verdict for a in f.attempts)
+                    or self.now >= f.event.deadline_us - self.margin_us)
 
     def may_send(self, f: Flow, s: Server) -> bool:
         """The one place that says whether a request may be sent (again), and where."""
