--- a/glenrock/cli/lab_sweep.py
+++ b/glenrock/cli/lab_sweep.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import csv
+from contextlib import closing
 from pathlib import Path
 from typing import Any
 
@@ -24,8 +25,11 @@
         with Progress(TextColumn("runs"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn(),
                       console=Console(stderr=True), transient=True) as progress:
             bar = progress.add_task("", total=len(todo))
-            for summary in runner.run_all(todo, jobs, kept, resume, lambda n: progress.advance(bar, n)):
-                found.append(summary)
+            # Closed here, not when it is collected: Ctrl-C may come while the generator waits for its caller,
+            # and the pool would play all that is left before the process ends.
+            with closing(runner.run_all(todo, jobs, kept, resume, lambda n: progress.advance(bar, n))) as runs:
+                for summary in runs:
+                    found.append(summary)
     except KeyboardInterrupt:
         kept_at = f", kept in {kept}; --resume goes on" if kept else ""
         raise Failed(f"stopped with {len(found)} of {len(todo)} runs finished{kept_at}") from None
--- a/glenrock/lab/runner.py
+++ b/glenrock/lab/runner.py
@@ -83,9 +83,13 @@
             for future in ready:
                 yield keep(kept, future.result())
                 done(1)
-    finally:
-        # Not `with`: its second shutdown takes the first one's cancelling back, and all is played to the end.
-        pool.shutdown(wait=True, cancel_futures=True)
+    except BaseException:
+        # What is half played is lost in any case, and the pool's own shutdown would wait for all that is queued.
+        for process in list((pool._processes or {}).values()):
+            process.kill()
+        pool.shutdown(wait=False, cancel_futures=True)
+        raise
+    pool.shutdown()
 
 
 def keep(kept: Path | None, summary: dict[str, Any]) -> dict[str, Any]:
