Take out state of the laboratory that nothing reads

Found by reading the change once more: counts by pairs of zones, a flag of balancers that hand back, and a count of late attempts were kept and never read.

--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -103,7 +103,6 @@
         self.standing: dict[Client, None] = {}
         self.over = False
         self.failure = ""
-        self.cells: dict[tuple[int, int], float] = {}
 
     def shapes(self) -> list[Shape]:
         e, draw = self.e, self.streams.of("instances")
--- a/glenrock/lab/day_attempts.py
+++ b/glenrock/lab/day_attempts.py
@@ -97,8 +97,6 @@
             if mine:
                 self.rejoin(client, self.habits.after_break())
             return
-        self.cells[(f.host.zone, a.instance.shape.zone)] = self.cells.get(
-            (f.host.zone, a.instance.shape.zone), 0) + 1
         if f.host.zone != a.instance.shape.zone:
             self.measure.counts["crossings"] += 1
         if mine:
--- a/glenrock/lab/day_processes.py
+++ b/glenrock/lab/day_processes.py
@@ -95,7 +95,6 @@
 
     def hand_back(self: Day, host: Host, over_us: int) -> None:
         """A planned end: its clients are moved away evenly over most of that time, and new ones are served."""
-        host.leaving_self = True
         held = [f for f in host.flows.values() if f.standing and f.standing.out]
         for n, f in enumerate(held):
             self.engine.at(self.engine.now + over_us * 9 // 10 * n // len(held), self.moved, f)
--- a/glenrock/lab/measure.py
+++ b/glenrock/lab/measure.py
@@ -49,7 +49,7 @@
         self.refusals = histogram()  # how long a refusal took
         self.counts = dict.fromkeys((
             "clients", "tries", "attempts", "set_up", "refused", "failed", "overdue", "unreachable", "broken",
-            "moved", "probes", "peer_bytes", "crossings", "left", "shed", "late_attempts"), 0)
+            "moved", "probes", "peer_bytes", "crossings", "left", "shed"), 0)
         self.crossing_s = self.standing_s = 0.0
         self.heat = np.zeros((instances, seconds), dtype=np.float32)  # load of each instance over what it can
         self.series: dict[str, list[float]] = {}
--- a/glenrock/lab/model/balancer.py
+++ b/glenrock/lab/model/balancer.py
@@ -99,13 +99,12 @@
         self.closed: deque[Flow] = deque()  # over, and forgotten once their end was told
         self.turns = self.handled = self.cpu_ns = self.actions = self.arrived = 0
         self.ends: dict[str, int] = {}
-        self.leaving_self = False  # it hands its clients back before it ends
 
     # -- the process ---------------------------------------------------------------------------------
 
     def begin(self, remembered: io.ServerList) -> None:
         self.life += 1
-        self.up, self.leaving_self, self.decisions = True, False, self.make(self.index, self.life)
+        self.up, self.decisions = True, self.make(self.index, self.life)
         self.inbox, self.flows, self.waiting = [], {}, False
         self.closed.clear()
         self.known.clear()
