Ask an overbooked discovery at the pace of the whole tier, and keep the version

Checked: calls logged with their times. Ruled out: slots held by the six watches (with waits of 500 ms the others still failed), and too short a time-out alone (5 s: no change). At fault: name_table.py gave up its place after 1 s, asked again within 1 s whatever the tier's size, dropped the version at 503 so that the whole list was asked for, and asked for the whole list before each watch.

Change: first calls spread over 250 ms a balancer where the list must be asked for, refused calls back off in proportion to the tier, 503 keeps version and connection, and a known list is continued by one watch.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import os
+import random
 import resource
 import signal
 import sys
@@ -23,6 +24,7 @@
 from .net.entrance import Entrance
 from .net.instance import Instances
 from .net.name_table import NameTable
+from .net.pace import Pace
 from .net.peers import Peers
 
 FIRST_LIST_MS = 300.0  # the whole list is awaited this long before clients are; then the known one must do
@@ -43,8 +45,9 @@
         self.begun = config  # what it started with
         self.decider = Decider(config.settings, config.seed, clock)
         self.instances = Instances(clock, config.settings.dial_timeout_us / 1000, self.decider.post)
+        pace = Pace(config.settings.balancers, config.settings.must_ask, random.Random(config.seed ^ 1))
         self.table = NameTable(config.discovery, clock, self.instances.update,
-                               lambda: self.decider.post(io.ServerList("failed")))
+                               lambda: self.decider.post(io.ServerList("failed")), pace)
         self.server = CommandServer(self.decider, self.instances, clock, config.sockets,
                                     config.measures_delay)
         self.entrance = Entrance(self.server, clock)
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -16,10 +16,13 @@
 from ..log import say
 from .clock import Clock, Limit
 from .instance import Entry, end, row_of, tune
+from .pace import Pace
 
 WAIT_MS = 10_000  # a watch waits this long for news
-GRACE_MS = 1500  # and its answer may take this much longer
-FIRST_MS = 1000
+# An answer may take this much longer: a call stands in line for up to 2 s where discovery is overbooked. Danger:
+# whoever gives up earlier is never heard, and its turn is lost for the others too.
+GRACE_MS = 2500
+OVERBOOKED = (429, 503)
 SOON_MS = 50  # the next call is due within 200 ms of an answer
 LONGEST_WAIT_MS = 1000.0  # between two calls while they fail; it must be found again within 4 s of a move
 OLDER_TIMES = 4  # an older whole list is believed when told this often in a row
@@ -56,10 +59,15 @@
     return index, snapshot, list(rows.values())
 
 
+class Overbooked(OSError):
+    """Discovery answers, but has no room for this call. What it told before stands."""
+
+
 class NameTable:
     def __init__(self, address: Address, clock: Clock, update: Callable[[str, list[Entry]], None],
-                 failed: Callable[[], None]) -> None:
+                 failed: Callable[[], None], pace: Pace) -> None:
         self.address, self.clock, self.update, self.failed = address, clock, update, failed
+        self.pace = pace
         self.sock: socket.socket | None = None
         self.limit: Limit | None = None  # of what the actor waits for now
         self.index: int | None = None
@@ -71,7 +79,10 @@
     def remember(self, known: dict[str, Any]) -> None:
         """The list as this balancer had it last. It may be old, so the whole list is still asked for."""
         try:
-            self.update("remembered", rows_of(known)[2])
+            index, _, rows = rows_of(known)
+            self.update("remembered", rows)
+            if rows and self.pace.must_ask:
+                self.index = self.newest = index  # a watch from there on is one call, the whole list first makes two
         except (KeyError, TypeError, ValueError) as bad:
             say("name table", f"known: not a list ({bad!r}); starting without")
             self.update("remembered", [])
@@ -97,18 +108,26 @@
         raise OSError("no answer in time")
 
     async def run(self) -> None:
+        if self.index is not None and (wait := self.pace.first()):
+            with contextlib.suppress(OSError):
+                await self.within(2 * wait, self.clock.sleep(wait))
         while True:
             address = self.address
             try:
                 await self.call()
                 self.failures = 0
+                self.pace.heard()
             except Exception as bad:  # whatever discovery sends, the last list goes on serving
-                self.hang_up()
+                if not isinstance(bad, Overbooked) or address != self.address:
+                    self.hang_up()
                 if address != self.address:
                     continue
                 self.failures += 1
                 self.failed()
-                wait = min(LONGEST_WAIT_MS, 50.0 * 2 ** min(self.failures, 6)) * (0.5 + random.random() / 2)
+                if isinstance(bad, Overbooked):
+                    wait = self.pace.overbooked()
+                else:
+                    wait = min(LONGEST_WAIT_MS, 50.0 * 2 ** min(self.failures, 6)) * (0.5 + random.random() / 2)
                 say("name table", f"call failed ({bad!r}); again in {wait:.0f} ms")
                 with contextlib.suppress(OSError):
                     await self.within(wait, self.clock.sleep(wait * 2))
@@ -116,8 +135,7 @@
     async def call(self) -> None:
         query = f"?index={self.index}&wait={WAIT_MS}" if self.index is not None else ""
         began = self.clock.now()
-        limit_ms = WAIT_MS + GRACE_MS if query else FIRST_MS
-        raw = await self.within(limit_ms, self.get(f"/discovery/hosts{query}"))
+        raw = await self.within((WAIT_MS if query else 0) + GRACE_MS, self.get(f"/discovery/hosts{query}"))
         index, snapshot, rows = rows_of(raw)
         self.check(index, snapshot, rows)
         # The index is taken only with its rows, and the next call follows at once: within 200 ms it
@@ -163,9 +181,12 @@
                 raise OSError("the answer is too large")
         if not answer.keep:
             self.hang_up()
-        if answer.parser.get_status_code() != 200:
+        status = answer.parser.get_status_code()
+        if status in OVERBOOKED:
+            raise Overbooked(f"status {status}: overbooked")
+        if status != 200:
             self.index = None  # perhaps it no longer knows that version: start from the whole list
-            raise OSError(f"status {answer.parser.get_status_code()}")
+            raise OSError(f"status {status}")
         return json.loads(bytes(answer.body))
 
     def hang_up(self) -> None:
--- /dev/null
+++ b/glenrock/net/pace.py
@@ -0,0 +1,41 @@
+"""How hard one balancer leans on discovery: when its first call comes, and when the next after one was turned away.
+
+Where the list must be asked for, discovery is one service for the whole tier, and it takes calls one at a time. Each
+new watch is such a call; one that goes on costs nothing. Calls stand in line, and one that stood there too long is
+turned away, though its turn still comes and is lost work. So a tier that starts together, or that asks again
+within a second, keeps the line full of calls that nobody waits for any more, and no balancer hears anything all
+day. What helps is time in proportion to the tier: the calls of all balancers together must fit in. Nothing here
+reads a clock or a socket. Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+EACH_MS = 250.0  # of the tier's time, for the call of one balancer
+FIRST_MS = 10_000.0  # a first call that must be spread comes within this: the list that is known is used till then
+LEAST_MS, MOST_MS = 1000.0, 20_000.0  # bounds of the longest pause
+
+
+@dataclass
+class Pace:
+    balancers: int
+    must_ask: bool
+    draw: random.Random
+    refusals: int = 0  # in a row
+
+    def first(self) -> float:
+        """The time until the first call, where an old list can serve till then."""
+        if not self.must_ask or self.balancers < 2:
+            return 0.0
+        return self.draw.random() * min(FIRST_MS, EACH_MS * self.balancers)
+
+    def heard(self) -> None:
+        self.refusals = 0
+
+    def overbooked(self) -> float:
+        """A call was turned away. Returns the time until the next one, drawn so that the tier's calls part."""
+        self.refusals += 1
+        longest = EACH_MS * self.balancers * 2.0 ** min(self.refusals - 1, 10)
+        return max(LEAST_MS, min(MOST_MS, longest)) * (0.25 + 0.75 * self.draw.random())
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -135,6 +135,8 @@
         elif what == "lists":
             rows = [self.row(*part.split("=")) for part in text.split()]
             self.answer({"index": 2, "snapshot": True, "endpoints": rows}, who)
+        elif what == "refuses":
+            self.ends[who].send(f"HTTP/1.1 {text} No\r\nContent-Length: 0\r\n\r\n".encode())
         elif what == "says":
             self.answer(json.loads(text), who)
         elif who == "signal":
