Close the cap when servers are lost, and keep a group's order the same at all balancers

The servers that came back cold had 1 to 30 connections after 9 s while 20 clients a second were refused.

Checked: the cap was infinite at most balancers until 10 s, the mean load 0.35 to 0.5 while the servers' mean was 0.96. Ruled out: old summaries (the same with all heard 1 s ago) and set-up work (fit: nothing). At fault: servers lost changed nothing (learn_cap); reports from before the return outweighed what came; s.part, worked out from one or two of a hundred connections, hid full servers from the mean; ten probe tokens were kept for requests that thin traffic never makes; a broken connection was no word on its server; and a group's candidates went by each balancer's zone and weights.

Change: the mean load follows lost servers up to 1.0 and waits for reports from after the return; a part needs five connections; a broken connection has its server probed; the sample goes on below ten tokens when the fleet is not calm; a group goes where it was last seen, then in an order that is the same at all; cold servers bring room beside the cap.

--- /dev/null
+++ b/tests/test_large.py
@@ -0,0 +1,146 @@
+"""What is fine alone and hurts when 40 balancers do it, each with little traffic."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import SECOND, T0, Harness, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wheatrouter import estimates
+from wheatrouter import interface as io
+
+NAMES = tuple(f"s{n}:1" for n in range(9))
+ZONES = ("a", "b")
+
+
+def balancer(seed: int = 1, names: tuple[str, ...] = NAMES, **over) -> Harness:
+    over = {"balancers": 40, "may_probe": True, "reports": ("load_ratio",), "zone": "a",
+            "price_cross_zone": 0.02, **over}
+    h = Harness(settings(**over), seed)
+    h.give(io.ServerList("full", tuple(io.ServerEntry(x, zone=ZONES[n % 2]) for n, x in enumerate(names))))
+    return h
+
+
+def probed(h: Harness, load: float, names: tuple[str, ...] = NAMES) -> None:
+    h.give(*(io.ProbeResult(x, "served", 1000, {"load_ratio": load}) for x in names))
+
+
+def sent(h: Harness, **over) -> str:
+    """The server that a request goes to, started there."""
+    name = h.request(**over)
+    h.run(50_000)  # probes that are waited for
+    server = [a.server for a in h.done(name) if isinstance(a, io.Send)][-1]
+    h.give(io.Started(name, len([a for a in h.done(name) if isinstance(a, io.Send)]) - 1, server, 1000))
+    return name
+
+
+def place(h: Harness, name: str) -> str:
+    return h.b.flows[name].server.id
+
+
+@given(group=st.integers(0, 1 << 62), seeds=st.lists(st.integers(0, 999), min_size=2, max_size=5))
+def test_all_balancers_know_the_same_order_for_a_group(group: int, seeds: list[int]) -> None:
+    orders = []
+    for n, seed in enumerate(seeds):
+        h = balancer(seed, zone=ZONES[n % 2])
+        for s in h.b.servers.values():
+            s.weight = 1 + (seed + s.code) % 3  # each has learned other weights
+        name = h.request(group=group)
+        orders.append([s.id for s in h.b.flows[name].choice])
+    assert all(order == orders[0] for order in orders)
+
+
+def test_a_group_goes_where_it_stands_whatever_its_order_says() -> None:
+    h = balancer()
+    h.give(io.OpenConnection(io.Request("o1", "read", T0 + SECOND, 1, 77), "s4:1"))
+    probed(h, 0.4)
+    assert place(h, sent(h, key=2, group=77)) == "s4:1"
+    h.servers("s4:1", kind="changes", state="draining")
+    assert place(h, sent(h, key=3, group=77)) != "s4:1"
+
+
+def zone_lost(h: Harness) -> None:
+    """Connections on five servers break, and the probes that follow are refused."""
+    for n, x in enumerate(NAMES[4:]):
+        h.give(io.OpenConnection(io.Request(f"o{n}", "read", T0 + SECOND, 100 + n, load=10_000), x))
+    probed(h, 0.45)
+    h.run(2 * SECOND)
+    probed(h, 0.45)
+    out = []
+    for n, x in enumerate(NAMES[4:]):
+        out += h.give(io.AttemptEnded(f"o{n}", 0, x, "broken", True, 0, {}))
+    assert {a.server for a in out if isinstance(a, io.Probe)} == set(NAMES[4:])
+    h.give(*(io.ProbeResult(x, "no_connection") for x in NAMES[4:]))
+
+
+def test_the_cap_closes_when_a_zone_is_lost_before_any_report_shows_it() -> None:
+    h = balancer()
+    zone_lost(h)
+    h.run(SECOND // 2)
+    assert h.b.fleet == pytest.approx(estimates.GUESS) and h.b.cap < float("inf")
+    # Reports from before the clients are back do not open it again; those from after do.
+    probed(h, 0.2, NAMES[:4])
+    h.run(SECOND // 4)
+    assert h.b.fleet == pytest.approx(estimates.GUESS)
+    for _ in range(12):
+        h.run(SECOND // 2)
+        probed(h, 0.2, NAMES[:4])
+    assert h.b.fleet < 0.6
+
+
+def test_servers_that_drain_are_not_lost() -> None:
+    h = balancer()
+    probed(h, 0.45)
+    h.run(SECOND)
+    h.give(io.ServerList("changes", tuple(io.ServerEntry(x, "draining") for x in NAMES[4:])))
+    h.run(SECOND)
+    assert h.b.fleet < 0.5 and h.b.cap == float("inf")
+
+
+@given(loads=st.lists(st.floats(0.05, 1.5), min_size=2, max_size=9), left=st.integers(1, 8))
+def test_a_guess_only_raises_and_stays_within_its_bound(loads: list[float], left: int) -> None:
+    names = NAMES[:len(loads)]
+    h = balancer(names=names)
+    warm = list(h.b.servers.values())
+    h.b.now, h.b.fleet = T0, sum(loads) / len(loads)
+    estimates.follow(h.b, warm, h.b.belief)
+    before = h.b.fleet
+    lost_at, fleet = estimates.follow(h.b, warm[:left], h.b.belief)
+    assert before <= fleet <= max(before, estimates.GUESS)
+    assert (lost_at == T0) == (left < len(warm))
+
+
+def test_one_connection_of_ours_says_nothing_of_a_servers_capacity() -> None:
+    h = balancer()
+    h.give(io.OpenConnection(io.Request("o", "read", T0 + SECOND, 1, load=90_000), "s0:1"))
+    h.b.mean_load = 10_000
+    for load in (0.2, 0.2, 0.2, 0.2, 1.4):
+        probed(h, load)
+        h.run(SECOND // 2)
+    assert all(s.part == 1.0 for s in h.b.servers.values())
+
+
+def test_a_fleet_that_may_be_full_is_looked_at_with_few_tokens_left() -> None:
+    h = balancer()
+    h.run(SECOND)
+    h.b.probe_tokens, h.b.fleet = 4.0, 0.3
+    assert not [a for a in h.run(SECOND) if isinstance(a, io.Probe)]
+    h.b.probe_tokens, h.b.fleet = 4.0, 0.7
+    assert [a for a in h.run(SECOND) if isinstance(a, io.Probe)]
+
+
+def test_cold_servers_bring_room_beside_a_cap_that_is_closed() -> None:
+    h = balancer(cold_us=9 * SECOND, cold_share=0.31, cold_multiple=3.0, cold_window_us=3 * SECOND)
+    h.give(io.OpenConnection(io.Request("o", "read", T0 + SECOND, 1, load=1_000_000), "s0:1"))
+    h.give(io.ServerList("changes", tuple(
+        io.ServerEntry(x, "ready", "a", started_us=h.now) for x in NAMES[4:])))
+    room = []
+    for _ in range(14):
+        probed(h, 0.95, NAMES[:4])
+        h.run(SECOND // 2)
+        room.append(h.b.cold_cap)
+    assert room[0] < room[4] < room[9] and h.b.cap < float("inf")
+    assert room[9] < 5 / 4 * 0.72 * 1_000_000 / 0.9
+    h.run(3 * SECOND)
+    assert h.b.cold_cap == 0  # warm: they count in the cap
--- /dev/null
+++ b/wheatrouter/estimates.py
@@ -0,0 +1,75 @@
+"""What a balancer makes of the load and the capacity of the servers: figures that rules.py decides by."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from . import interface as io
+from .records import Memory, Server
+
+CAN_GAIN, USUAL_GAIN = 0.4, 0.04  # per round, of what a server is seen to do: now, and usually
+USUAL_LEAST = 0.15  # of what the servers usually do, on average
+FEW = 5  # connections of ours at a server that say something of what it can do
+GUESS = 1.0  # the mean load is guessed no higher than this when servers are lost
+BACK_US = 1_000_000  # clients of servers that are lost come to the others within this
+
+
+def warmth(settings: io.Settings, s: Server, now: int) -> float:
+    """The part of its capacity that a server surely has by now."""
+    age = now - s.started_us
+    if not s.started_us or age >= settings.cold_us:
+        return 1.0
+    return settings.cold_share + (1 - settings.cold_share) * max(0, age) / settings.cold_us
+
+
+def fill(settings: io.Settings, s: Server, now: int, part: float) -> float:
+    """The part of a cold server's capacity that all balancers may have brought to it by now, if they use
+    `part` of the budget that the rule on cold servers leaves them."""
+    age = max(0, now - s.started_us) / max(1, settings.cold_us)
+    return part * settings.cold_multiple * age * (settings.cold_share + warmth(settings, s, now)) / 2
+
+
+def mean(m: Memory, seen: Sequence[tuple[Server, float]], active: float) -> float:
+    """The load of the servers together, where the whole tier has `active` load.
+
+    Danger: a few that have become slow show many times their load, and in a plain mean they would close the
+    cap while the others have room. So each counts by the part of its own usual capacity that it still has:
+    the load it bears here, over its capacity in use.
+    """
+    ours = min(1.0, max(0.05, m.active / max(1.0, active)))
+    for s, load in seen:
+        held = sum(f.load for f in s.held.values())
+        # Danger: with a connection or two of the hundred that stand there its capacity comes out anyhow;
+        # one that is full then counts as slow, the mean goes down, and the cap stays open.
+        if load > 0.1 and held > 2 * m.mean_load and len(s.held) >= FEW:
+            can = held / ours / load
+            s.can += (can - s.can) * CAN_GAIN if s.can else can
+            s.usual += (can - s.usual) * USUAL_GAIN if s.usual else can
+    usual = [s.usual for s, _ in seen if s.usual]
+    for s, _ in seen:
+        # Danger: one that was slow when it was first seen has no better past. So its usual is never held
+        # for less than some part of the others'; balancers differ in what they hold where.
+        if s.usual:
+            s.part = min(1.0, s.can / max(s.usual, USUAL_LEAST * sum(usual) / len(usual)))
+    return sum(s.part * load for s, load in seen) / sum(s.part for s, _ in seen)
+
+
+def follow(m: Memory, warm: Sequence[Server], belief: Callable[[Server], float]) -> tuple[int, float]:
+    """When servers were last lost, and the mean load with those in reach now, to whom comes what stood there.
+
+    Danger: each of many balancers sees little, and reports show load when it is there. When a zone is lost
+    all let its clients in again at once, and the rest serve nobody for seconds. The guess closes the cap only
+    so far, and reports do the rest. Those that drain or are gone leave in their own time, as reports show.
+    """
+    here = {s.id for s in warm}
+    came = [belief(s) for s in warm if s.id not in m.reach]
+    lost = sum(m.servers[id_].ready for id_ in m.reach - here if id_ in m.servers)
+    lost_at, fleet = m.lost_at, m.fleet
+    if m.reach and warm and (came or lost):
+        guess = (fleet * (len(warm) - len(came) + lost) + sum(came)) / len(warm)
+        if lost and guess > fleet:
+            lost_at = m.now
+        fleet = min(guess, max(fleet, GUESS))
+    m.reach = here or m.reach
+    m.warm = len(warm) or m.warm
+    return lost_at, fleet
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -102,6 +102,7 @@
         # What the list now read changes: a server, its points, ready or not, in this zone.
         self.changed: list[tuple[Server, tuple[int, ...], bool, bool]] = []
         self.flows: dict[str, Flow] = {}
+        self.homes: dict[int, Server] = {}  # by group, where it was last seen to stand, longest ago first
         self.choosing: dict[str, Flow] = {}  # requests that wait for probes
         self.held: dict[str, None] = {}  # requests no server may take yet
         self.sessions: dict[int | str, Session] = {}
@@ -114,11 +115,14 @@
         self.standing = 0.0  # of these, load of connections that stand
         self.mean_load = 0.0
         self.cap = float("inf")  # starts high: nothing is known against it
+        self.cold_cap = 0.0  # active load beside it, for servers still cold
         self.cap_cut_at = LONG_AGO
         self.late_load = 0.0  # load lately found at servers whose messages were late
         self.none_left = False  # each server that is ready is out of use for a while
         self.fleet = 0.5  # mean load over servers lately probed
-        self.warm = 0  # servers past their warm-up, when there were any
+        self.warm = 0  # servers in reach past their warm-up, when there were any
+        self.reach: set[str] = set()  # which
+        self.lost_at = LONG_AGO  # some of them left then
         self.capacity = 0.0  # of one server, in load; 0: not known
         self.turned = self.tried = 0  # attempts of this round
         self.turned_at: set[str] = set()
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -8,6 +8,7 @@
 
 import random
 
+from . import estimates
 from . import interface as io
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
 from .recovery.domains import Domains
@@ -35,8 +36,6 @@
 NOTE_US = 3 * S // 2  # such word comes once a second
 LEAVE_US = 2 * S  # clients of a server that drains are told to move over this time, before it cuts them off
 MOVE_AT = 1.0  # above this a server serves hardly any message in time, so open connections are moved
-CAN_GAIN, USUAL_GAIN = 0.4, 0.04  # per round, of what a server is seen to do: now, and usually
-USUAL_LEAST = 0.15  # of what the servers usually do, on average
 SAMPLE = 12  # servers known that make the fleet's mean
 # -- AIMD ------------------------------------------------------------------------------------------
 CAP_CUT, CAP_RISE = 0.85, 0.25  # per feedback delay; per round, of the room that reports show
@@ -152,11 +151,7 @@
             self.domains.saw(s.zone, s.id, answers)
 
     def warmth(self, s: Server) -> float:
-        """The part of its capacity that a server surely has by now."""
-        age = self.now - s.started_us
-        if not s.started_us or age >= self.set.cold_us:
-            return 1.0
-        return self.set.cold_share + (1 - self.set.cold_share) * max(0, age) / self.set.cold_us
+        return estimates.warmth(self.set, s, self.now)
 
     def cold_room(self, s: Server) -> float:
         """Load that this balancer may bring to a server that started lately.
@@ -279,35 +274,19 @@
     def known_active(self) -> float:
         return self.active + sum(p.active for p in self.peers.values())
 
-    def mean(self, seen: list[tuple[Server, float]]) -> float:
-        """The load of the servers together. Danger: a few that have become slow show many times their load,
-        and in a plain mean they would close the cap while the others have room. So each counts by the part of
-        its own usual capacity that it still has: the load it bears here, over its capacity in use."""
-        ours = min(1.0, max(0.05, self.active / max(1.0, self.known_active())))
-        for s, load in seen:
-            held = sum(f.load for f in s.held.values())
-            if load > 0.1 and held > 2 * self.mean_load:
-                can = held / ours / load
-                s.can += (can - s.can) * CAN_GAIN if s.can else can
-                s.usual += (can - s.usual) * USUAL_GAIN if s.usual else can
-        usual = [s.usual for s, _ in seen if s.usual]
-        for s, _ in seen:
-            # Danger: one that was slow when it was first seen has no better past. So its usual is never held
-            # for less than some part of the others'; balancers differ in what they hold where.
-            if s.usual:
-                s.part = min(1.0, s.can / max(s.usual, USUAL_LEAST * sum(usual) / len(usual)))
-        return sum(s.part * load for s, load in seen) / sum(s.part for s, _ in seen)
-
     def learn_cap(self) -> None:
         # Servers of which something is known now; a few of them move the mean only so far.
-        since = self.now - FEEDBACK_US
+        there = [s for s in self.servers.values() if s.ready and not s.failures and self.usable(s)]
         # Danger: servers just started are empty but may not be filled: their room is not the fleet's yet.
-        warm = [s for s in self.servers.values() if s.ready and (not s.started_us or self.warmth(s) >= 1)]
-        self.warm = len(warm) or self.warm
+        warm = [s for s in there if self.warmth(s) >= 1]
+        self.lost_at, self.fleet = estimates.follow(self, warm, self.belief)
+        # Danger: reports from before the clients of lost servers are back would open the cap for them again.
+        since = max(self.now - FEEDBACK_US, self.lost_at + estimates.BACK_US)
         seen = [(s, min(3.0, self.belief(s))) for s in warm
-                if not s.failures and (s.load_at > since or s.held and self.set.tells_delay)]
+                if s.load_at > since or s.held and self.set.tells_delay]
         if seen:
-            self.fleet += (self.mean(seen) - self.fleet) * min(1.0, len(seen) / SAMPLE)
+            gain = min(1.0, len(seen) / SAMPLE)
+            self.fleet += (estimates.mean(self, seen, self.known_active()) - self.fleet) * gain
         active = self.known_active()
         # Danger: one server that falls over drops all it held within a round. That is its own trouble: only
         # where several turn clients away is the fleet full.
@@ -318,6 +297,10 @@
         # Danger: reports are late. Set against the actives of now, they cut what has left already, and let in
         # again what is on its way; so they are set against the actives of their own time.
         then = next((a for at, _, a in self.history if self.now - at <= FEEDBACK_US), active)
+        # Danger: a fleet that stays full keeps its cap, and clients out of servers that came back empty. So
+        # what may have been brought to these by now counts beside the cap.
+        cold = sum(estimates.fill(self.set, s, self.now, COLD_PART) for s in there if self.warmth(s) < 1)
+        self.cold_cap = cold * TARGET * then / max(0.1, self.fleet) / max(1, len(warm))
         bears = then * TARGET / max(0.1, self.fleet)  # what the fleet carries at the target
         if self.fleet > HIGH or full:
             if self.now - self.cap_cut_at >= FEEDBACK_US:
@@ -373,7 +356,7 @@
             for bucket, load in p.line:
                 queues[bucket] = queues.get(bucket, 0.0) + load
         self.newcomers_pass = not queues and active < self.cap / 2
-        free = slots = max(0.0, self.cap - active)
+        free = slots = max(0.0, self.cap + self.cold_cap - active)
         mine = self.share() or 1.0  # no history: the plain cap
         self.open_until, self.partial = -NEVER, NEVER
         for bucket in sorted(queues):
@@ -398,7 +381,7 @@
 
     def admit(self, f: Flow) -> bool:
         session = self.sessions.get(f.key)
-        if f.event.midflow or session and (session.flows or self.known_active() <= self.cap):
+        if f.event.midflow or session and (session.flows or self.known_active() <= self.cap + self.cold_cap):
             self.enter(f)
             return True
         if session:
@@ -474,7 +457,8 @@
         f = self.flow_of(e.request)
         f.attempts.append(Attempt(s, self.now))
         f.server, f.answered = s, True
-        self.flows[e.request.id] = s.held[e.request.id] = f
+        self.flows[e.request.id] = f
+        self.stand(f, s)
         self.enter(f)
 
     def on_request(self, e: io.Request) -> None:
@@ -524,21 +508,27 @@
         return f.kind.effect == "safe" or (f.kind.effect == "keyed" and f.kind.repeat_scope == "all")
 
     def candidates(self, f: Flow) -> list[Server]:
-        """Weighted random pick; a group seeds it, so that its connections meet on the same servers."""
+        """Weighted random pick; a group seeds it, so that its connections meet on the same servers.
+
+        Danger: each server that holds any of a group pays for it once more, and where each of many balancers
+        goes by its own weights and zone a group ends on all servers. So the order of a group's servers is the
+        same at all, after the one where it was last seen to stand.
+        """
         group = f.event.group
         seed = self.rng.getrandbits(64) if group is None else mix(group)
         tried = {a.server.id for a in f.attempts}
-        found: list[Server] = []
+        home = None if group is None else self.homes.get(group)
+        found = [home] if home and home.id not in tried and self.may_send(f, home) else []
         if not self.ring:
-            return found
+            return []
         # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
         self.none_left = not any(s.ready and self.usable(s) for s in self.servers.values())
         for n in range(16):
-            ring = self.local if self.local and (n % 2 == 0 or n > 8) else self.ring
-            s = ring.at(mix(seed + n))
+            near = group is None and self.local and (n % 2 == 0 or n > 8)
+            s = (self.local if near else self.ring).at(mix(seed + n))
             if s in found or s.id in tried or not self.may_send(f, s):
                 continue
-            if mix(seed ^ s.code) / MASK * WEIGHT_MAX / 2 <= s.weight:
+            if mix(seed ^ s.code) / MASK * (WEIGHT_MAX / 2 if group is None else 1) <= s.weight:
                 found.append(s)
                 if len(found) == CANDIDATES:
                     return found
@@ -575,7 +565,9 @@
         self.choosing.pop(f.event.id, None)
         best, least = None, 0.0
         for rank, s in enumerate(f.choice):
-            cost = self.estimate(s) + (AFFINITY * rank if f.event.group is not None else 0.0)
+            cost = self.estimate(s)
+            if f.event.group is not None:
+                cost += AFFINITY * rank
             cost += CROSSING * self.set.price_cross_zone if s.zone != self.set.zone else 0.0
             if self.may_send(f, s) and (best is None or cost < least):
                 best, least = s, cost
@@ -610,11 +602,19 @@
             return
         s = f.attempts[e.attempt].server
         f.server, f.answered = s, True
-        s.held[e.id] = f
+        self.stand(f, s)
         s.failures = 0
         self.reached(s, True)
         self.well += 1
 
+    def stand(self, f: Flow, s: Server) -> None:
+        s.held[f.event.id] = f
+        if f.event.group is not None:
+            self.homes.pop(f.event.group, None)
+            self.homes[f.event.group] = s
+            if len(self.homes) > MAX_LINE:
+                del self.homes[next(iter(self.homes))]
+
     def on_ended(self, e: io.AttemptEnded) -> None:
         f = self.flows.get(e.id)
         if f is None or not 0 <= e.attempt < len(f.attempts):
@@ -638,6 +638,11 @@
                 self.turned_at.add(s.id)
         if e.verdict == "no_connection":
             self.failed(s)
+        elif e.verdict == "broken" and f.server and not s.failures:
+            # Danger: of a server that died each of many balancers held one or two. Waiting for failures of
+            # their own, all send it clients that come back, and let the others be filled with the rest.
+            s.failures = 1
+            self.probe(s)
         if e.done or f.server:
             if not e.done and not f.event.midflow:
                 self.out.append(io.Fail(e.id))
@@ -762,7 +767,9 @@
         self.divide_slots()
         self.empty()
         self.relieve()
-        if self.probe_tokens > 2 * CANDIDATES and self.ring:  # a sample that no trouble chose
+        # Danger: with thin traffic, tokens kept for requests are never used, and a full fleet is not seen.
+        spare = 2 * CANDIDATES if self.fleet < QUIET and self.cap == float("inf") else 1
+        if self.probe_tokens > spare and self.ring:  # a sample that no trouble chose
             # Of the longest unheard: a draw left one that had become slow unseen for six seconds.
             self.probe(min((s for s in self.servers.values() if s.ready),
                            key=lambda s: (s.probe_at >= 0, s.load_at, s.code)))
