Bring clients that the cap refuses to cold servers within their budgets

Checked with a print at each send: a balancer's budget allows one cold server a connection in one of three to five spells of 3 s, so the fleet used a third of what the budgets allow. Ruled out: servers out of use (few), weights (0.7 at most). At fault: a balancer had a request to send only when the cap let one in, and the mean load above 0.86 kept the cap shut; of its candidates few were cold.

Change: a request that the cap refuses is admitted for cold servers alone where one has budget left here; where the fleet is above its target, cold servers with budget are looked at first. The budgets themselves are as they were; they moved to wheatrouter/cold.py.

--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -144,3 +144,49 @@
     assert room[9] < 5 / 4 * 0.72 * 1_000_000 / 0.9
     h.run(3 * SECOND)
     assert h.b.cold_cap == 0  # warm: they count in the cap
+
+
+def full_with_cold(seed: int = 1, load: float = 0.95) -> Harness:
+    """Four full servers, a closed cap, and five that started lately."""
+    h = balancer(seed, cold_us=9 * SECOND, cold_share=0.31, cold_multiple=3.0, cold_window_us=3 * SECOND)
+    for n in range(8):
+        h.give(io.OpenConnection(io.Request(f"o{n}", "read", T0 + SECOND, 500 + n, load=10_000), NAMES[n % 4]))
+    h.give(io.ServerList("changes", tuple(
+        io.ServerEntry(x, "ready", "a", started_us=h.now - 2 * SECOND) for x in NAMES[4:])))
+    for _ in range(3):
+        h.run(SECOND // 2)
+        probed(h, load, NAMES[:4])
+    h.run(SECOND // 2)
+    h.b.cap = h.b.part = h.b.cold_cap = 0.0
+    h.b.newcomers_pass, h.b.partial, h.b.younger = False, 0, 0
+    return h
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_cold_servers_take_what_the_cap_refuses_and_no_more_than_their_budgets(seed: int) -> None:
+    h = full_with_cold(seed)
+    probed(h, 1.3, NAMES[4:])  # worse than the others, and still the only ones that have a budget
+    rooms = sum(max(0.0, h.b.cold_room(s)) for s in h.b.cold)
+    assert len(h.b.cold) == 5 and 0 < rooms
+    names = [h.request(key=n, load=1000, group=n) for n in range(400)]
+    h.run(50_000)
+    to = [a.server for x in names for a in h.done(x) if isinstance(a, io.Send)]
+    assert to and set(to) <= set(NAMES[4:])  # those beside the cap go nowhere else
+    assert 1000 * len(to) <= rooms + 1000 * len(NAMES[4:])
+    assert sum(isinstance(a, io.Refuse) for x in names for a in h.done(x)) == 400 - len(to)
+
+
+def test_cold_servers_come_first_where_the_others_are_full_and_not_where_they_have_room() -> None:
+    for load, first in ((0.95, True), (0.3, False)):
+        h = full_with_cold(load=load)
+        h.b.cap = float("inf")
+        h.b.newcomers_pass = True
+        colds = {s.id for s in h.b.cold}
+        for s in h.b.cold:
+            s.spent = -1e9  # room for all
+        ahead = []
+        for n in range(20):
+            h.b.probe_tokens = 0.0
+            f = h.b.flows[h.request(key=n, load=1000, group=n)]
+            ahead.append([s.id in colds for s in f.choice])
+        assert all(a[0] for a in ahead) == first
--- a/wheatrouter/estimates.py
+++ b/wheatrouter/estimates.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Sequence
 
-from . import interface as io
 from .records import Memory, Server
 
 CAN_GAIN, USUAL_GAIN = 0.4, 0.04  # per round, of what a server is seen to do: now, and usually
@@ -14,21 +13,6 @@
 BACK_US = 1_000_000  # clients of servers that are lost come to the others within this
 
 
-def warmth(settings: io.Settings, s: Server, now: int) -> float:
-    """The part of its capacity that a server surely has by now."""
-    age = now - s.started_us
-    if not s.started_us or age >= settings.cold_us:
-        return 1.0
-    return settings.cold_share + (1 - settings.cold_share) * max(0, age) / settings.cold_us
-
-
-def fill(settings: io.Settings, s: Server, now: int, part: float) -> float:
-    """The part of a cold server's capacity that all balancers may have brought to it by now, if they use
-    `part` of the budget that the rule on cold servers leaves them."""
-    age = max(0, now - s.started_us) / max(1, settings.cold_us)
-    return part * settings.cold_multiple * age * (settings.cold_share + warmth(settings, s, now)) / 2
-
-
 def mean(m: Memory, seen: Sequence[tuple[Server, float]], active: float) -> float:
     """The load of the servers together, where the whole tier has `active` load.
 
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -64,6 +64,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     server: Server | None = None  # where it stands
     answered: bool = False
+    cold: bool = False  # admitted for servers that started lately, and for no others
     waits_for: set[str] = field(default_factory=set)  # probes
     choice: list[Server] = field(default_factory=list)
 
@@ -95,7 +96,7 @@
     """All that one balancer keeps between events; it starts empty and dies with the balancer."""
 
     def __init__(self) -> None:
-        self.now = 0
+        self.now = self.salt = 0
         self.out: list[io.Action] = []
         self.servers: dict[str, Server] = {}
         self.ring, self.local = Ring(), Ring()  # of all servers that are ready; of those in this zone
@@ -115,6 +116,7 @@
         self.standing = 0.0  # of these, load of connections that stand
         self.mean_load = 0.0
         self.cap = float("inf")  # starts high: nothing is known against it
+        self.cold: list[Server] = []  # servers in reach that started lately, as of the last round
         self.cold_cap = 0.0  # active load beside it, for servers still cold
         self.cap_cut_at = LONG_AGO
         self.late_load = 0.0  # load lately found at servers whose messages were late
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -8,7 +8,7 @@
 
 import random
 
-from . import estimates
+from . import cold, estimates
 from . import interface as io
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
 from .recovery.domains import Domains
@@ -44,7 +44,6 @@
 CANDIDATES = 5  # servers compared for a request; more cost probes and gain little
 AFFINITY = 0.10  # load a group's later candidates must be better by, since each one pays for the group anew
 CROSSING = 3.0  # load that a crossing of zones must gain, as a multiple of its price
-COLD_PART = 0.35  # part of the cold budget used: the rest is for chance, since balancers do not agree
 # -- budgets, in points of the result (1 = all of it) ------------------------------------------------
 PROBE_BUDGET = 0.016  # probes may take this much
 PEER_BUDGET = 0.004  # summaries may take this much
@@ -151,31 +150,10 @@
             self.domains.saw(s.zone, s.id, answers)
 
     def warmth(self, s: Server) -> float:
-        return estimates.warmth(self.set, s, self.now)
+        return cold.warmth(self.set, s, self.now)
 
     def cold_room(self, s: Server) -> float:
-        """Load that this balancer may bring to a server that started lately.
-
-        Danger: a cold server is pushed over by all balancers together. Each one's part is what it carries
-        on a warm server, full, filled over the warm-up time: the parts add up to a server's fill however many
-        balancers there are, and one that carries nothing yet sends nothing.
-        """
-        share = self.warmth(s)
-        if share >= 1:
-            return float("inf")
-        window = self.set.cold_window_us
-        part = COLD_PART * self.set.cold_multiple * share * min(1.0, window / max(1, self.set.cold_us))
-        part /= (self.warm or max(1, len(self.servers))) * max(0.5, self.fleet)
-        spell = (self.now - s.started_us) // window
-        if spell != s.spell:
-            s.spell, s.spent = spell, 0.0
-        room = part * self.standing - s.spent
-        if not s.spent:
-            # A part below one connection: one of any load passes in so many spells, drawn for each balancer
-            # and spell. Saving up instead would let all balancers send at once.
-            draw = max(1e-9, mix(s.code ^ self.salt ^ mix(spell)) / MASK)
-            room = max(room, part * self.standing * min(1 / draw, self.set.balancers / 2))
-        return room
+        return cold.room(self, self.set, s)
 
     # == server weights (AIMD) and slow start ======================================================
 
@@ -299,8 +277,9 @@
         then = next((a for at, _, a in self.history if self.now - at <= FEEDBACK_US), active)
         # Danger: a fleet that stays full keeps its cap, and clients out of servers that came back empty. So
         # what may have been brought to these by now counts beside the cap.
-        cold = sum(estimates.fill(self.set, s, self.now, COLD_PART) for s in there if self.warmth(s) < 1)
-        self.cold_cap = cold * TARGET * then / max(0.1, self.fleet) / max(1, len(warm))
+        self.cold = [s for s in there if self.warmth(s) < 1]
+        filled = sum(cold.fill(self.set, s, self.now) for s in self.cold)
+        self.cold_cap = filled * TARGET * then / max(0.1, self.fleet) / max(1, len(warm))
         bears = then * TARGET / max(0.1, self.fleet)  # what the fleet carries at the target
         if self.fleet > HIGH or full:
             if self.now - self.cap_cut_at >= FEEDBACK_US:
@@ -400,6 +379,9 @@
             # The ledger of this round. A part smaller than one client passes it now and then.
             passes = self.part >= f.load or self.rng.random() * f.load < self.part
             self.part = max(0.0, self.part - f.load) if passes else self.part
+        if not passes and any(s.ready and self.may_take(s, f.load) for s in self.cold):
+            # Beside the cap: the budgets of cold servers bind by themselves, and lie idle while others are full.
+            passes = f.cold = True
         if passes:
             self.line.pop(f.key, None)
             self.enter(f)
@@ -518,9 +500,16 @@
         seed = self.rng.getrandbits(64) if group is None else mix(group)
         tried = {a.server.id for a in f.attempts}
         home = None if group is None else self.homes.get(group)
-        found = [home] if home and home.id not in tried and self.may_send(f, home) else []
-        if not self.ring:
-            return []
+        # Danger: where the others are full, servers that came back cold would stay nearly empty: each of many
+        # balancers may bring one a connection only now and then. So they are looked at first.
+        found = [s for s in self.cold if (f.cold or self.fleet > TARGET) and s.id not in tried
+                 and self.may_send(f, s)]
+        found.sort(key=lambda s: mix(seed ^ s.code))
+        if f.cold or not self.ring:
+            return found[:CANDIDATES]
+        if home and home not in found and home.id not in tried and self.may_send(f, home):
+            found.insert(0, home)
+        del found[CANDIDATES - 1:]
         # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
         self.none_left = not any(s.ready and self.usable(s) for s in self.servers.values())
         for n in range(16):
