--- a/glenrock/lab/runner.py
+++ b/glenrock/lab/runner.py
@@ -9,10 +9,13 @@
 import json
 import signal
 from collections.abc import Callable, Iterator
-from concurrent.futures import FIRST_COMPLETED, ProcessPoolExecutor, wait
+from concurrent.futures import Future, ProcessPoolExecutor
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from multiprocessing import get_context
 from pathlib import Path
+from queue import Empty, SimpleQueue
+from threading import current_thread, main_thread
 from typing import Any
 
 import msgspec
@@ -24,6 +27,8 @@
 from .day import Day
 from .spec import Experiment
 
+WAIT_S = 0.1  # Ctrl-C is seen within this
+
 
 @dataclass(frozen=True)
 class Task:
@@ -76,11 +81,20 @@
             done(1)
         return
     pool = ProcessPoolExecutor(min(jobs, max(1, len(left))), get_context("spawn"), deaf)
+    ended: SimpleQueue[Future] = SimpleQueue()
     try:
-        out = {pool.submit(play, task) for task in left}
-        while out:
-            ready, out = wait(out, return_when=FIRST_COMPLETED)
-            for future in ready:
+        # Danger: an exception raised wherever Ctrl-C happens to come would leave a lock of the pool held, and the
+        # program would hang at its end. So it is noted, and raised where none is held.
+        with noted_interrupt() as stopped:
+            for task in left:
+                pool.submit(play, task).add_done_callback(ended.put)
+            for _ in left:
+                future = None
+                while future is None:
+                    if stopped:
+                        raise KeyboardInterrupt
+                    with suppress(Empty):
+                        future = ended.get(timeout=WAIT_S)
                 yield keep(kept, future.result())
                 done(1)
     except BaseException:
@@ -92,6 +106,20 @@
     pool.shutdown()
 
 
+@contextmanager
+def noted_interrupt() -> Iterator[list[int]]:
+    """Ctrl-C is put into the list in place of being raised. Only the main thread hears of it at all."""
+    stopped: list[int] = []
+    if current_thread() is not main_thread():
+        yield stopped
+        return
+    before = signal.signal(signal.SIGINT, lambda number, _: stopped.append(number))
+    try:
+        yield stopped
+    finally:
+        signal.signal(signal.SIGINT, before)
+
+
 def keep(kept: Path | None, summary: dict[str, Any]) -> dict[str, Any]:
     if kept:
         record.file(kept / f"{summary['key']}.json", record.text_of(summary))
