--- a/glenrock/lab/faults.py
+++ b/glenrock/lab/faults.py
@@ -31,7 +31,8 @@
 
 
 def crash(day: Day, f: spec.Crash, draw: np.random.Generator) -> None:
-    for instance in some(draw, [i for i in day.instances.values() if i.up], float(f.part)):
+    there = [i for i in day.instances.values() if i.up and f.zone in ("", day.zones[i.shape.zone])]
+    for instance in some(draw, there, float(f.part)):
         day.stop(instance)
         if f.down_s:
             day.engine.at(day.engine.now + us(f.down_s), day.begin, instance)
--- a/glenrock/lab/spec.py
+++ b/glenrock/lab/spec.py
@@ -207,6 +207,7 @@
 
     part: PartR = 0.25
     down_s: Least0R = 10.0
+    zone: str = ""  # of this zone alone; empty: of all
 
 
 class ZoneCut(Fault):
@@ -423,6 +424,7 @@
         need(low(f.at_s) < low(e.length_s), f"{key}.at_s", f"is past the end of the day ({low(e.length_s):g} s)")
         if isinstance(f, ZoneCut):
             need(len(e.fleet.zones) > 1, key, "a zone cut needs two zones")
+        if isinstance(f, Crash | ZoneCut):
             need(not f.zone or f.zone in e.fleet.zones, f"{key}.zone", f"{f.zone!r} is not one of fleet.zones")
         if isinstance(f, TenantFlood):
             need(not f.tenant or f.tenant in {t.name for t in e.tenants}, f"{key}.tenant",
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from glenrock.lab import spec
+from glenrock.lab.day import Day
 from glenrock.lab.faults import FAULTS
+from glenrock.toml_file import BadFile
 from wheatrouter import interface as io
 
 from .days import Scripted, day
@@ -27,6 +31,23 @@
     assert set(FAULTS) == set(spec.FAULTS)
 
 
+def test_a_crash_of_a_zone_ends_all_of_it_and_nothing_else() -> None:
+    d = with_fault(kind="crash", at_s=3.0, part=1.0, down_s=4.0, zone="b")
+    at(d, 3.01)
+    assert {i.up for i in d.instances.values() if d.zones[i.shape.zone] == "b"} == {False}
+    assert {i.up for i in d.instances.values() if d.zones[i.shape.zone] == "a"} == {True}
+    with pytest.raises(BadFile, match=r"faults\[0\].zone: 'c' is not one of fleet.zones"):
+        with_fault(kind="crash", at_s=3.0, zone="c")
+
+
+@pytest.mark.parametrize("name", ["large-herd", "large-zone", "large-join"])
+def test_the_module_keeps_the_rules_on_a_large_day(name: str) -> None:
+    e = spec.load(Path("experiments") / f"{name}.toml", {"length_s": 14.0, "fleet.instances": 9})
+    found = Day(e, 3, "glenrock").run()
+    assert found["failure"] == "" and sum(found["rules"].values()) == 0
+    assert found["counts"]["attempts"] > 100
+
+
 def test_a_crash_ends_a_part_which_comes_back_cold_and_is_told_of_late() -> None:
     d = with_fault(kind="crash", at_s=3.0, part=0.5, down_s=4.0, over={"discovery": {"notice_s": 1.0, "add_s": 0.5}})
     at(d, 3.01)
