Tell unsound peers, summaries and doubled instances in a line, and keep what stood

Need: one summary with a figure out of all measure counted as known actives at every balancer and shut the cap for all; a number past the settings, a repeated address and an instance named twice were taken in silence.

Change: summary.fault() names what is wrong with a message; loads beyond 100 times what all tenants may hold are absurd. peers: at a reload the old addresses stay, at the start the first of each counts. Measured: no change on sound input (a property over the figures of a tier).

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -54,7 +54,8 @@
         self.peers = None
         self.decider.probe = self.instances.probe
         if config.peer_listen:
-            self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post)
+            self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post,
+                               config.settings.balancers)
             self.decider.tell = self.peers.tell
         self.tasks: set[asyncio.Task] = set()
 
--- a/glenrock/net/decider.py
+++ b/glenrock/net/decider.py
@@ -68,6 +68,8 @@
             actions = self.balancer.out
             if not self.timers:  # its round must go on
                 self.balancer.timer(now + 500_000, "")
+        for text in self.balancer.odd:
+            say("summary", text)
         for zone, cut in self.balancer.domains.news:
             say("link", f"zone {zone} is believed cut off; its instances are left until one answers" if cut
                 else f"zone {zone} answers again, or nobody says otherwise; taken back step by step")
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -50,6 +50,9 @@
     for item in raw["endpoints"]:
         try:
             row = row_of(item)
+            if row.name in rows:
+                say("name table", f"{row.name} stands twice, at {rows[row.name].address} and {row.address}: "
+                    "the later row counts")
             rows[row.name] = row
         except (ValueError, TypeError, KeyError, OverflowError) as bad:
             say("name table", f"row {item!r:.200} left out: {bad!r:.200}")
--- a/glenrock/net/peers.py
+++ b/glenrock/net/peers.py
@@ -20,8 +20,9 @@
 
 class Peers:
     def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
-                 post: Callable[[io.Event], bool]) -> None:
-        self.post = post
+                 post: Callable[[io.Event], bool], balancers: int) -> None:
+        self.post, self.balancers = post, balancers
+        self.index: dict[Address, int] = {}
         self.move(peers, everyone)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
@@ -29,9 +30,18 @@
         asyncio.get_running_loop().add_reader(self.sock, self.receive)
 
     def move(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
-        """The other balancers' addresses, in the order of their numbers."""
-        self.index = {address: n for n, address in enumerate(peers)}
-        self.peers, self.everyone = peers, everyone
+        """The other balancers' addresses, in the order of their numbers. What can't be is told, and those
+        held before stay; at the start the first of each address that the settings have a number for counts."""
+        index: dict[Address, int] = {}
+        wrong = f"{len(peers)} addresses for {self.balancers} balancers" if len(peers) > self.balancers else ""
+        for n, address in enumerate(peers[:self.balancers]):
+            if index.setdefault(address, n) != n:
+                wrong = f"{address[0]}:{address[1]} stands for balancers {index[address]} and {n}"
+        if wrong:
+            say("peers", f"{wrong}; {'the old ones stay' if self.index else 'the first of each counts'}")
+            if self.index:
+                return
+        self.index, self.peers, self.everyone = index, tuple(index), everyone
 
     def receive(self) -> None:
         for _ in range(AT_ONCE):
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,87 @@
+"""What must be told in a line and must change nothing, in a tier of many."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from conftest import Harness, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenrock.net import name_table, peers
+from wheatrouter import interface as io
+from wheatrouter.summary import decode, encode, fault
+
+A, B, C = ("127.0.0.1", 1), ("127.0.0.1", 2), ("127.0.0.1", 3)
+
+
+@pytest.fixture
+def said(monkeypatch) -> list[str]:
+    lines: list[str] = []
+    for module in (name_table, peers):
+        monkeypatch.setattr(module, "say", lambda kind, text: lines.append(f"{kind}: {text}"))
+    return lines
+
+
+def moved(*moves: tuple, balancers: int = 3) -> peers.Peers:
+    async def inside() -> peers.Peers:
+        p = peers.Peers(("127.0.0.1", 0), moves[0], None, lambda e: True, balancers)
+        for more in moves[1:]:
+            p.move(more, None)
+        p.close()
+        return p
+    return asyncio.run(inside())
+
+
+def test_peers_that_repeat_an_address_or_are_too_many_leave_the_old_ones(said) -> None:
+    assert moved((A, B, C)).index == {A: 0, B: 1, C: 2} and said == []
+    assert moved((A, B), (B, A, B)).index == {A: 0, B: 1}
+    assert said.pop() == "peers: 127.0.0.1:2 stands for balancers 0 and 2; the old ones stay"
+    assert moved((A, B), (A, B, C, ("127.0.0.1", 4))).index == {A: 0, B: 1}
+    assert said.pop() == "peers: 4 addresses for 3 balancers; the old ones stay"
+    p = moved((A, A, B, C))  # at the start there are no old ones
+    assert p.index == {A: 0, B: 2} and p.peers == (A, B) and "the first of each counts" in said[-1]
+
+
+def test_an_instance_that_stands_twice_is_told(said) -> None:
+    row = {"name": "s1", "status": "SERVING"}
+    _, _, rows = name_table.rows_of({"index": 1, "snapshot": True, "endpoints": [
+        {**row, "address": "127.0.0.1:1"}, {**row, "address": "127.0.0.1:2"}]})
+    assert [r.address for r in rows] == [B]
+    assert said == [f"name table: s1 stands twice, at {A} and {B}: the later row counts"]
+
+
+def tier() -> Harness:
+    h = Harness(settings(tenants=(io.Tenant("t", 600.0),)))
+    h.b.mean_load = 25_000.0
+    h.give(io.PeerMessage(1, encode(1, 9_000_000, 300, [])))
+    assert h.b.known_active() == 9_000_000
+    return h
+
+
+@pytest.mark.parametrize(("peer", "data", "told"), [
+    (1, b"\1\2", "cannot be read"), (1, b"\2" + encode(2, 1, 1, [])[1:], "cannot be read"),
+    (1, encode(2, 1e15, 300, []), "absurd"), (1, encode(2, 1e6, 2_000_000, []), "absurd"),
+    (2, encode(2, 1e6, 3, [(0, 1e15)]), "absurd"), (4, encode(2, 1e6, 3, []), "the settings name 4")])
+def test_an_unsound_summary_is_told_and_the_one_before_stands(peer: int, data: bytes, told: str) -> None:
+    h = tier()
+    h.give(io.PeerMessage(peer, data))
+    assert len(h.b.odd) == 1 and told in h.b.odd[0] and f"balancer {peer}" in h.b.odd[0]
+    assert h.b.known_active() == 9_000_000 and not h.b.queues() and set(h.b.peers) == {1}
+    h.give()
+    assert h.b.odd == []
+
+
+@given(active=st.floats(0, 1e9), clients=st.integers(0, 100_000), line=st.lists(
+    st.tuples(st.integers(0, 60), st.floats(0, 1e7)), max_size=20), peer=st.integers(0, 39))
+def test_what_a_balancer_of_the_tier_says_is_believed(active, clients, line, peer) -> None:
+    read = decode(encode(7, active, clients, line))
+    assert fault(peer, 40, read, 25_000.0 * 600) == "" == fault(peer, 40, read, 0.0)
+
+
+@given(data=st.binary(max_size=256))
+def test_no_bytes_whatever_change_what_is_known_beyond_measure(data: bytes) -> None:
+    h = tier()
+    h.give(io.PeerMessage(1, data))
+    assert h.b.known_active() <= 100 * 600 * 25_000
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -98,6 +98,7 @@
     def __init__(self) -> None:
         self.now = self.salt = 0
         self.out: list[io.Action] = []
+        self.odd: list[str] = []  # what the last batch brought that was left aside, for the log
         self.servers: dict[str, Server] = {}
         self.ring, self.local = Ring(), Ring()  # of all servers that are ready; of those in this zone
         # What the list now read changes: a server, its points, ready or not, in this zone.
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -13,7 +13,7 @@
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
 from .recovery.domains import Domains
 from .ring import MASK, mix, points
-from .summary import decode, encode
+from .summary import decode, encode, fault
 
 S = 1_000_000  # microseconds in a second
 # -- periods ---------------------------------------------------------------------------------------
@@ -74,7 +74,7 @@
             io.PeerMessage: self.on_peer}
 
     def handle(self, now_us: int, events: list[io.Event]) -> list[io.Action]:
-        first, self.now, self.out = not self.now, now_us, []
+        first, self.now, self.out, self.odd = not self.now, now_us, [], []
         if first:
             # Balancers that started together must not ask the list service, or speak, all at once.
             spread = min(self.set.ask_within_us / 3, self.set.balancers * S / 5)
@@ -381,7 +381,7 @@
             passes = self.part >= f.load or self.rng.random() * f.load < self.part
             self.part = max(0.0, self.part - f.load) if passes else self.part
         if not passes and any(s.ready and self.may_take(s, f.load) for s in self.cold):
-            # Beside the cap: the budgets of cold servers bind by themselves, and lie idle while others are full.
+            # Beside the cap: cold servers' budgets bind by themselves, and lie idle while others are full.
             passes = f.cold = True
         if passes:
             self.line.pop(f.key, None)
@@ -446,7 +446,8 @@
         self.earn_probes()  # it was a first try once, and counts as one in the price
 
     def earn_probes(self) -> None:
-        self.probe_tokens = min(MOST_PROBES, self.probe_tokens + PROBE_BUDGET / max(self.set.price_probe, 1e-4))
+        more = PROBE_BUDGET / max(self.set.price_probe, 1e-4)
+        self.probe_tokens = min(MOST_PROBES, self.probe_tokens + more)
 
     def on_request(self, e: io.Request) -> None:
         if e.id in self.flows:
@@ -798,8 +799,12 @@
             self.out.append(io.Tell(data))
 
     def on_peer(self, e: io.PeerMessage) -> None:
+        if e.peer == self.set.index:
+            return
         read = decode(e.data)
-        if read is None or e.peer == self.set.index:
+        most = self.mean_load * sum(x.connections for x in self.set.tenants)  # all that tenants may hold
+        if wrong := fault(e.peer, self.set.balancers, read, most):
+            self.odd.append(wrong)
             return
         stamp, active, clients, line = read
         old = self.peers.get(e.peer)
--- a/wheatrouter/summary.py
+++ b/wheatrouter/summary.py
@@ -8,6 +8,10 @@
 LONGEST = 256
 LARGEST = (1 << 63) - 1
 VERSION = 1
+MOST_CLIENTS = 1_000_000  # at one balancer
+ABSURD = 100  # times the load of all connections that tenants may hold: no balancer has so much
+
+Summary = tuple[int, float, int, list[tuple[int, float]]]  # stamp, active, clients, queues
 
 
 def encode(stamp: int, active: float, clients: int, line: list[tuple[int, float]]) -> bytes:
@@ -33,7 +37,7 @@
     out.append(value)
 
 
-def decode(data: bytes) -> tuple[int, float, int, list[tuple[int, float]]] | None:
+def decode(data: bytes) -> Summary | None:
     """None for anything that is not a whole summary of this version."""
     if len(data) < 5 or len(data) > LONGEST or data[0] != VERSION:
         return None
@@ -50,3 +54,20 @@
         return None
     return data[1] << 8 | data[2], float(values[0]), values[1], [
         (values[n], float(values[n + 1])) for n in range(2, len(values), 2)]
+
+
+def fault(peer: int, balancers: int, read: Summary | None, most: float) -> str:
+    """What is wrong with a summary, in a line; empty where nothing is. `most` is the load of all connections
+    that tenants may hold, 0 where it is not known.
+
+    Danger: one figure out of all measure would count as known actives at every balancer, and shut every cap.
+    """
+    if not 0 <= peer < balancers:
+        return f"summary of balancer {peer} ignored: the settings name {balancers}"
+    if read is None:
+        return f"summary of balancer {peer} ignored: it cannot be read"
+    _, active, clients, line = read
+    load = max([active, sum(x for _, x in line)])
+    if clients > MOST_CLIENTS or most > 0 and load > ABSURD * most:
+        return f"summary of balancer {peer} ignored: {clients} clients and a load of {load:.3g} are absurd"
+    return ""
