Measure peers by the load of a connection only once a few have told it

A balancer that has just started takes 1 for the load of a connection until the first tells its own, so that sound summaries of its peers passed for absurd. At fault: the bound in on_peer().

--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -802,7 +802,9 @@
         if e.peer == self.set.index:
             return
         read = decode(e.data)
-        most = self.mean_load * sum(x.connections for x in self.set.tenants)  # all that tenants may hold
+        # All that tenants may hold, once a few connections have told what one is.
+        known = len(self.sessions) >= estimates.FEW
+        most = self.mean_load * sum(x.connections for x in self.set.tenants) if known else 0.0
         if wrong := fault(e.peer, self.set.balancers, read, most):
             self.odd.append(wrong)
             return
