Let one that has just warmed up take nothing beside the cap

Seen in reading the change again: admit() went by the list of cold servers of the last round. One that had warmed up since then has no budget that binds, so for up to half a second every request that the cap refused was let in, at all balancers. And candidates() looked at cold servers and a group's home before it worked out whether all are out of use.

Change: only servers still cold take clients beside the cap, with a test that fails without it; the order mended.

--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -215,3 +215,10 @@
         h.b.probe_tokens = 60.0
         first.append(next(a.server for a in h.run(SECOND) if isinstance(a, io.Probe)))
     assert max(map(first.count, NAMES)) <= 14 and len(set(first)) == len(NAMES)
+
+
+def test_one_that_has_just_warmed_up_takes_nothing_beside_the_cap() -> None:
+    h = full_with_cold()
+    h.now += 9 * SECOND  # and no round since
+    names = [h.request(key=n, load=1000, group=n) for n in range(20)]
+    assert all(isinstance(h.done(x)[0], io.Refuse) for x in names)
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -384,7 +384,8 @@
             # The ledger of this round. A part smaller than one client passes it now and then.
             passes = self.part >= f.load or self.rng.random() * f.load < self.part
             self.part = max(0.0, self.part - f.load) if passes else self.part
-        if not passes and any(s.ready and self.may_take(s, f.load) for s in self.cold):
+        # One that has warmed up since the last round has no budget that binds: it counts in the cap.
+        if not passes and any(self.warmth(s) < 1 and self.may_take(s, f.load) for s in self.cold):
             # Beside the cap: cold servers' budgets bind by themselves, and lie idle while others are full.
             passes = f.cold = True
         if passes:
@@ -508,6 +509,8 @@
         group = f.event.group
         seed = self.rng.getrandbits(64) if group is None else mix(group)
         tried = {a.server.id for a in f.attempts}
+        # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
+        self.none_left = not any(s.ready and self.usable(s) for s in self.servers.values())
         home = None if group is None else self.homes.get(group)
         # Danger: where the others are full, servers that came back cold would stay nearly empty: each of many
         # balancers may bring one a connection only now and then. So they are looked at first.
@@ -519,8 +522,6 @@
         if home and home not in found and home.id not in tried and self.may_send(f, home):
             found.insert(0, home)
         del found[CANDIDATES - 1:]
-        # Danger: where all are out of use nobody would be tried again for seconds. All is as good as none.
-        self.none_left = not any(s.ready and self.usable(s) for s in self.servers.values())
         for n in range(16):
             near = group is None and self.local and (n % 2 == 0 or n > 8)
             s = (self.local if near else self.ring).at(mix(seed + n))
@@ -563,9 +564,7 @@
         self.choosing.pop(f.event.id, None)
         best, least = None, 0.0
         for rank, s in enumerate(f.choice):
-            cost = self.estimate(s)
-            if f.event.group is not None:
-                cost += AFFINITY * rank
+            cost = self.estimate(s) + (AFFINITY * rank if f.event.group is not None else 0.0)
             cost += CROSSING * self.set.price_cross_zone if s.zone != self.set.zone else 0.0
             if self.may_send(f, s) and (best is None or cost < least):
                 best, least = s, cost
