--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -20,9 +20,11 @@
 from .log import say
 from .net.clock import Clock
 from .net.command import CommandServer
+from .net.counts import Counts
 from .net.decider import Decider
 from .net.entrance import Entrance
 from .net.instance import Instances
+from .net.leaving import Leaving
 from .net.name_table import NameTable
 from .net.pace import Pace
 from .net.peers import Peers
@@ -37,6 +39,28 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (want, hard))
 
 
+class Operators:
+    """The parts that serve operators. Imported only where they are wanted: memory is short."""
+
+    def __init__(self, program: Program) -> None:
+        from .admin.listener import DESCRIPTORS, Listener
+        from .admin.operations import Operations
+        from .upgrade.agreement import Agreement
+
+        p = program
+        self.agreement = Agreement(p.config.folder, p.clock, p.instances, p.decider)
+        self.operations = Operations(p.decider, p.instances, p.server, p.leaving, self.agreement)
+        self.listener = Listener(self.operations, p.clock)
+        p.server.kept += DESCRIPTORS
+
+    def start(self, program: Program) -> None:
+        # Before the first list: what is out by hand must be known when it comes.
+        self.agreement.start()
+        self.listener.listen(program.config.admin)
+        program.run(self.listener.accept())
+        program.run(self.agreement.watch())
+
+
 class Program:
     """All parts, wired. Tests start it too, with a clock of their own."""
 
@@ -44,35 +68,46 @@
         self.config, self.clock = config, clock
         self.begun = config  # what it started with
         self.decider = Decider(config.settings, config.seed, clock)
-        self.instances = Instances(clock, config.settings.dial_timeout_us / 1000, self.decider.post)
+        counts = Counts(c.name for c in config.settings.classes)
+        self.instances = Instances(clock, config.settings.dial_timeout_us / 1000, self.decider.post, counts)
         pace = Pace(config.settings.balancers, config.settings.must_ask, random.Random(config.seed ^ 1))
         self.table = NameTable(config.discovery, clock, self.instances.update,
                                lambda: self.decider.post(io.ServerList("failed")), pace)
         self.server = CommandServer(self.decider, self.instances, clock, config.sockets,
-                                    config.measures_delay)
+                                    config.measures_delay, counts)
         self.entrance = Entrance(self.server, clock)
+        self.leaving = Leaving(self.server, self.entrance, clock)
+        self.operators = Operators(self) if config.admin else None
         self.peers = None
         self.decider.probe = self.instances.probe
         if config.peer_listen:
             self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post,
-                               config.settings.balancers)
+                               config.settings.balancers, config.accept_fd is not None)
             self.decider.tell = self.peers.tell
         self.tasks: set[asyncio.Task] = set()
+        self.inherited = None
+        if config.accept_fd is not None:
+            from .upgrade.inherited import listener
+
+            self.inherited = listener(config.accept_fd)
 
     def run(self, work: Coroutine[None, None, None]) -> None:
         # The loop itself keeps no hold on a task.
         self.tasks.add(asyncio.get_running_loop().create_task(work))
 
     async def start(self) -> None:
+        if self.operators:
+            self.operators.start(self)
         self.table.remember(self.config.known)
         self.run(self.decider.run())
         self.run(self.table.run())
         # Nothing is accepted, and so no PING answered, before there is a list to serve with.
         async with self.clock.limit(FIRST_LIST_MS):
             await self.table.first.wait()
-        self.listener = self.entrance.listen(self.config.listen)
-        self.run(self.entrance.accept(self.listener))
+        self.entrance.open(self.inherited or self.entrance.listen(self.config.listen))
         self.run(self.server.sweep())
+        if self.operators:
+            self.operators.operations.serves = True
         say("ready", f"{self.config.name} serves on {self.config.listen[0]}:{self.config.listen[1]}")
 
     def reload(self, again: Callable[[Config], Config]) -> None:
@@ -101,7 +136,7 @@
             if task.done():
                 raise RuntimeError("an actor ended") from task.exception()
         say("stopping", f"{len(self.server.commands)} clients to hand back")
-        await self.server.hand_back()
+        await self.leaving.stop(self.inherited is not None)
         say("stopped", f"{len(self.server.commands)} clients left")
 
 
@@ -131,6 +166,9 @@
     raise_limit(config.sockets)
     try:
         uvloop.run(serve(config, Clock(), early))
+    except ConfigError as bad:
+        print(f"glenrock: {bad}", file=sys.stderr)
+        return 2
     except OSError as bad:
         print(f"glenrock: {bad}", file=sys.stderr)
         return 1
--- a/glenrock/config.py
+++ b/glenrock/config.py
@@ -1,7 +1,7 @@
 """The one place where configuration is read, checked and given defaults.
 
-LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it. The file may be
-read again while the program runs: then a key that it has changed wins over the variable.
+LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_ADMIN win over it. The file
+may be read again while the program runs: then a key that it has changed wins over the variable.
 """
 
 from __future__ import annotations
@@ -36,11 +36,14 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    admin: Address | None = None  # where operators call; absent, nobody listens
+    accept_fd: int | None = None  # the clients' listening socket, where the platform holds it
+    folder: str = ""  # $TMPDIR: what a successor must know stands there
     filed: Mapping[str, Any] = field(default_factory=dict)  # of VARIABLES, what the file itself says
 
 
-VARIABLES = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
-AT_START = ("name", "listen", "peer_listen", "settings", "measures_delay")  # not taken over live
+VARIABLES = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY", "admin": "LB_ADMIN"}
+AT_START = ("name", "listen", "admin", "peer_listen", "settings", "measures_delay")  # not taken over live
 
 
 def address_of(value: Any, key: str) -> Address:
@@ -81,7 +84,15 @@
     # address that it started with, whatever the new file says.
     stands = {key: env[var] for key, var in VARIABLES.items() if env.get(var) and (
         begun is None or key not in filed or filed[key] == begun.filed.get(key))}
-    return replace(check({**raw, **stands}), filed=filed)
+    return replace(check({**raw, **stands}), filed=filed, accept_fd=accept_fd_of(env),
+                   folder=env.get("TMPDIR", ""))
+
+
+def accept_fd_of(env: Mapping[str, str]) -> int | None:
+    value = env.get("LB_ACCEPT_FD", "")
+    if value and not (value.isascii() and value.isdecimal() and 2 < int(value[:9]) < 1 << 20):
+        raise ConfigError(f"LB_ACCEPT_FD: expected the number of a descriptor, got {value!r}")
+    return int(value) if value else None
 
 
 def check(raw: dict[str, Any]) -> Config:
@@ -96,7 +107,7 @@
     sockets = typed(limits, "sockets", int, SOCKETS, "limits.")
     if sockets < 64:
         raise ConfigError(f"limits.sockets: at least 64 are needed, got {sockets}")
-    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    peer_listen, peers_all, admin = raw.get("peer_listen"), raw.get("peers_all"), raw.get("admin")
     return Config(
         name=str(raw.get("name", "")), listen=address_of(raw["listen"], "listen"),
         discovery=address_of(raw["discovery"], "discovery"), seed=seed_of(raw.get("seed", "0")),
@@ -107,4 +118,5 @@
         known=typed(raw, "known", dict, {}),
         peer_listen=address_of(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(address_of(p, "peers") for p in typed(raw, "peers", list, [])),
-        peers_all=address_of(peers_all, "peers_all") if peers_all else None)
+        peers_all=address_of(peers_all, "peers_all") if peers_all else None,
+        admin=address_of(admin, "admin") if admin else None)
--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -13,6 +13,7 @@
 from ..log import say
 from . import lines
 from .clock import Clock, micros
+from .counts import Counts
 from .decider import Decider
 from .entrance import FEW, LINGER_MS
 from .errors import End, Outcome, Reach
@@ -30,9 +31,6 @@
 MAIL = 32  # messages that may wait for one command
 RESERVE = 24  # descriptors kept for everything but clients, besides one probe connection an instance
 WAITS = 10.0  # a client that wants to wait this many times its class's deadline sent no sound number
-QUIET_MS = 450.0  # after SIGTERM new connections still come this long; one moved now would come back here
-KILL_MS = 700.0  # SIGKILL comes this long after the longest deadline, or later
-LONGEST_MS = 3000.0  # and a deadline longer than this counts as this
 
 
 class Ended(Enum):
@@ -72,6 +70,8 @@
         self.attempt = -1
         self.up = asyncio.Event()
         self.over = False  # the module hears no more of it
+        self.counted = False  # in the figures
+        self.ended = False  # it has had its last word, or is about to
         self.splitter = lines.Splitter()
         self.asked_at: float | None = None  # the oldest client line that nothing has answered
         self.moving = ""  # the verdict of a move that is under way
@@ -159,6 +159,7 @@
                         say("first line", f"{self.opened.id} sent bytes before its answer: failed")
                         await self.abandon()
                         await self.finish(lines.FAILED)
+                    self.count("left")
                     return False
                 if isinstance(mail, Answered) and mail.execution is self.execution:
                     if mail.outcome.end is End.UP:
@@ -175,6 +176,7 @@
                                            True)
 
     def started(self, x: Execution, standing: str | None) -> None:
+        self.count("fulfilled")
         if standing is not None:
             self.attempt = 0
             self.decider.post(io.OpenConnection(self.request(), standing))
@@ -191,10 +193,17 @@
             self.over = True
             self.decider.post(io.ClientGone(self.opened.id))
 
+    def count(self, outcome: str) -> None:
+        """Each connection counts once: as what came first."""
+        if not self.counted:
+            self.counted = True
+            self.server.counts.add(outcome, self.opened.fields["c"])
+
     async def finish(self, line: bytes) -> None:
         """The one final answer. Then the client's end is awaited: a close with its bytes unread would reset
         the connection and the answer with it."""
-        loop = asyncio.get_running_loop()
+        loop, self.ended = asyncio.get_running_loop(), True
+        self.count("throttled" if line.startswith(b"BUSY") else "faulted")
         with contextlib.suppress(OSError):
             async with self.clock.limit(LINGER_MS):
                 await loop.sock_sendall(self.sock, line)
@@ -308,6 +317,7 @@
 
     async def end_with(self, mail: Ended) -> None:
         """Passes an end on in kind, within a second."""
+        self.ended = True
         words = {"BYE": "served", "MOVE": "cancelled", "ERR": "error"}
         if mail is Ended.BETWEEN_LINES:
             await self.hand_back()
@@ -367,13 +377,15 @@
 
 
 class CommandServer:
-    """Keeps the table of commands, watches for silent instances, hands all back."""
+    """Keeps the table of commands, and watches for silent instances."""
 
     def __init__(self, decider: Decider, instances: Instances, clock: Clock, sockets: int,
-                 measures_delay: bool) -> None:
+                 measures_delay: bool, counts: Counts) -> None:
         self.decider, self.instances, self.clock = decider, instances, clock
         self.sockets = sockets
         self.commands: dict[str, Command] = {}
+        self.counts = counts
+        self.kept = RESERVE  # descriptors
         decider.commands = self.commands
         settings = decider.balancer.set
         self.known = lines.Known({c.name: WAITS * c.deadline_us / 1000 for c in settings.classes},
@@ -387,7 +399,15 @@
 
     def free(self) -> int:
         """Descriptors that neither commands nor the program's other parts need: a relay takes two."""
-        return self.sockets - RESERVE - len(self.instances.all) - 2 * len(self.commands)
+        return self.sockets - self.kept - len(self.instances.all) - 2 * len(self.commands)
+
+    def open(self) -> int:
+        """Commands taken that have not had their last word."""
+        return sum(not c.ended for c in self.commands.values())
+
+    def turned_away(self, outcome: str, class_: str) -> None:
+        """A connection with a sound first line has had its answer from the entrance."""
+        self.counts.add(outcome, class_)
 
     def full(self) -> bool:
         return self.free() < 2 + FEW
@@ -402,6 +422,7 @@
             await command.run()
         finally:
             command.gone()
+            command.count("faulted")  # an exception ended it
             del self.commands[opened.id]
 
     def took(self, command: Command, ms: float) -> None:
@@ -424,20 +445,3 @@
                     say("silent", f"{command.name} answers {command.opened.id} no more: client moved")
                     command.mailbox.put(Move("broken"))
             self.instances.tidy()
-
-    async def hand_back(self) -> None:
-        """After SIGTERM: goes on accepting, moves the clients over the time there is, and holds nothing when
-        SIGKILL comes."""
-        began = self.clock.now()
-        longest = min(LONGEST_MS, max(c.deadline_us for c in self.decider.balancer.set.classes) / 1000)
-        until = began + longest + KILL_MS - 500
-        await self.clock.sleep(QUIET_MS)
-        while self.commands and (now := self.clock.now()) < until:
-            still = [c for c in self.commands.values() if c.up.is_set() and not c.moving]
-            turns = max(1.0, (until - 200 - now) / 50)
-            for command in still[:max(1, round(len(still) / turns + 0.49))]:
-                command.mailbox.put(Move("cancelled"))
-            await self.clock.sleep(50)
-        for command in list(self.commands.values()):
-            command.mailbox.put(Move("cancelled") if command.up.is_set() else lines.nack(1000))
-        await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
--- a/glenrock/net/decider.py
+++ b/glenrock/net/decider.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import traceback
 from collections.abc import Callable
@@ -42,20 +43,37 @@
         self.tell: Callable[[bytes], None] = lambda data: None
         self.watch: Callable[[], None] = lambda: None
         self.last = 0
+        self.orders: list[io.Event] = []  # by hand: first in the next turn, however full the mailbox is
+        self.turned: list[asyncio.Future] = []  # who waits for it
 
     def post(self, event: io.Event) -> bool:
         return self.mailbox.put(event)
 
+    def order(self, event: io.Event) -> None:
+        self.orders.append(event)
+        self.mailbox.wake()
+
+    async def settled(self) -> None:
+        """Until what was ordered has been decided on."""
+        done = asyncio.get_running_loop().create_future()
+        self.turned.append(done)
+        self.mailbox.wake()
+        await done
+
     async def run(self) -> None:
         while True:
             alarm = None
             if self.timers:
                 # Half a millisecond late rather than early: a turn too early would find nothing due.
                 alarm = self.clock.call_at(millis(self.timers[0][0]) + 0.5, self.mailbox.wake)
-            batch = await self.mailbox.take()
+            batch = [] if self.orders or self.turned else await self.mailbox.take()
             if alarm:
                 alarm.cancel()
-            self.turn(batch)
+            orders, self.orders, turned, self.turned = self.orders, [], self.turned, []
+            self.turn(orders + batch)
+            for done in turned:
+                if not done.done():
+                    done.set_result(None)
 
     def turn(self, batch: list[io.Event]) -> None:
         now = self.last = max(self.last, micros(self.clock.now()))
--- a/glenrock/net/entrance.py
+++ b/glenrock/net/entrance.py
@@ -18,6 +18,7 @@
 IDLE_MS = 10_000.0  # one that was answered PONG may stay this long
 LINGER_MS = 1000.0  # one that was turned away has this long to end
 LINGER_BYTES = 65536  # and may send this much more; past that it is cut off
+AGAIN_MS = 20.0  # no connection is taken this long after one could not be
 AT_ONCE = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
 FEW = 16  # connections without a command that there is always room for
 
@@ -30,6 +31,7 @@
     def knows(self, id_: str) -> bool: ...
     def full(self) -> bool: ...
     def room(self) -> int: ...
+    def turned_away(self, outcome: str, class_: str) -> None: ...
     async def serve(self, sock: socket.socket, opened: lines.Open) -> None: ...
 
 
@@ -41,6 +43,9 @@
         # answered, and those that have had an answer and are owed no other.
         self.unheard: dict[asyncio.Task, None] = {}
         self.answered: dict[asyncio.Task, None] = {}
+        self.listener: socket.socket | None = None
+        self.away = False  # clients are sent away: PING is told so
+        self.refuses = False  # and new commands are refused
 
     def listen(self, address: Address) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -50,21 +55,38 @@
         sock.listen(4096)
         return sock
 
-    async def accept(self, listener: socket.socket) -> None:
+    def open(self, listener: socket.socket) -> None:
+        """Takes connections from now on. Read when the loop says so, not by sock_accept: a connection that it has
+        taken just as it is cancelled would be lost, and a successor's socket must stay whole."""
+        self.listener = listener
+        asyncio.get_running_loop().add_reader(listener, self.accept)
+
+    def close(self) -> None:
+        """Takes no more. What is in the queue stays there, for whoever holds the socket too."""
+        if self.listener:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+
+    def accept(self) -> None:
         loop = asyncio.get_running_loop()
-        while True:
-            for _ in range(AT_ONCE):
-                try:
-                    sock, _ = await loop.sock_accept(listener)
-                except OSError as bad:
-                    # Out of descriptors, or a client that left at once: the listener must outlive both.
-                    say("accept", str(bad))
-                    self.shed()
-                    await self.clock.sleep(20)
-                    continue
-                self.take(loop, sock)
-            # Danger: while connections are pending sock_accept returns without a turn of the loop.
-            await asyncio.sleep(0)
+        for _ in range(AT_ONCE):
+            try:
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as bad:
+                # Out of descriptors, or a client that left at once: the listener must outlive both.
+                say("accept", str(bad))
+                self.shed()
+                loop.remove_reader(self.listener)
+                self.clock.call_at(self.clock.now() + AGAIN_MS, self.resume)
+                return
+            self.take(loop, sock)
+
+    def resume(self) -> None:
+        if self.listener:
+            asyncio.get_running_loop().add_reader(self.listener, self.accept)
 
     def take(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
         task = loop.create_task(self.connection(sock))
@@ -126,17 +148,20 @@
                 return None
             if data != lines.PING:
                 break
-            await loop.sock_sendall(sock, lines.PONG)
+            await loop.sock_sendall(sock, lines.FAILED if self.away else lines.PONG)
             self.has_answer()
             data, pinged = b"", True
         opened = lines.parse_open(data, self.commands.known)
         if isinstance(opened, lines.Open) and self.commands.knows(opened.id):
+            self.commands.turned_away("faulted", opened.fields["c"])
             opened = "the id of a command that is open"
         if isinstance(opened, str):
             say("first line", f"not understood, {opened}: {data[:120]!r}")
             await self.turn_away(sock, lines.FAILED)
-        elif self.commands.full():
-            say("descriptors", "no room for another command: nacked")
+        elif self.refuses or self.commands.full():
+            if not self.refuses:
+                say("descriptors", "no room for another command: nacked")
+            self.commands.turned_away("throttled", opened.fields["c"])
             await self.turn_away(sock, lines.nack(500 + 500 * random.random()))
         else:
             return opened
--- a/glenrock/net/instance.py
+++ b/glenrock/net/instance.py
@@ -15,6 +15,7 @@
 from ..log import say
 from . import lines
 from .clock import Clock, micros
+from .counts import Counts
 from .errors import End, Outcome, Reach
 from .mailbox import Mailbox
 
@@ -80,8 +81,9 @@
 
 
 class Instance:
-    def __init__(self, entry: Entry, clock: Clock, dial_ms: float, post: Post) -> None:
+    def __init__(self, entry: Entry, clock: Clock, dial_ms: float, post: Post, counts: Counts) -> None:
         self.entry, self.clock, self.dial_ms, self.post = entry, clock, dial_ms, post
+        self.counts, self.held = counts, False  # held: out of rotation by hand, whatever the name table says
         self.mailbox = Mailbox(MAIL)
         self.prober: asyncio.Task | None = None
         self.probe_sock: socket.socket | None = None
@@ -91,7 +93,7 @@
 
     @property
     def serving(self) -> bool:
-        return self.entry.status == "SERVING"
+        return self.entry.status == "SERVING" and not self.held
 
     def stop(self) -> None:
         self.actor.cancel()
@@ -154,6 +156,7 @@
             x.reach = Reach.PARTLY_WRITTEN
             await loop.sock_sendall(x.sock, lines.with_wait(x.line, self.left(x)))
             x.reach = Reach.WRITTEN
+            self.counts.relayed += 1
             return await self.answer(x, loop)
         return Outcome(End.SILENT, x.reach)
 
@@ -226,9 +229,19 @@
 class Instances:
     """All instances by name. A name is an identity: its address may change, its process may restart."""
 
-    def __init__(self, clock: Clock, dial_ms: float, post: Post) -> None:
-        self.clock, self.dial_ms, self.post = clock, dial_ms, post
+    def __init__(self, clock: Clock, dial_ms: float, post: Post, counts: Counts) -> None:
+        self.clock, self.dial_ms, self.post, self.counts = clock, dial_ms, post, counts
         self.all: dict[str, Instance] = {}
+        self.out: set[str] = set()  # held, listed or not
+
+    def hold(self, name: str, out: bool) -> None:
+        """Nothing that is queued or being connected starts there any more, or all may again."""
+        (self.out.add if out else self.out.discard)(name)
+        if instance := self.all.get(name):
+            instance.held = out
+
+    def listed(self) -> list[str]:
+        return [name for name, instance in self.all.items() if instance.entry.status != "DELETED"]
 
     def get(self, name: str) -> Instance | None:
         return self.all.get(name)
@@ -249,7 +262,8 @@
                         known.hang_up()  # the process at its other end is gone
                 known.entry = row
             elif len(self.all) < TABLE:
-                self.all[row.name] = Instance(row, self.clock, self.dial_ms, self.post)
+                self.all[row.name] = Instance(row, self.clock, self.dial_ms, self.post, self.counts)
+                self.all[row.name].held = row.name in self.out
         now = self.clock.now()  # one that starts in the future would be cold for as long
         self.post(io.ServerList(kind, tuple(
             io.ServerEntry(r.name, STATES[r.status], r.zone, r.group, r.weight, micros(min(now, r.since_ms)))
--- /dev/null
+++ b/glenrock/net/leaving.py
@@ -0,0 +1,100 @@
+"""Sending clients away: at SIGTERM, and when operators say so."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..log import say
+from . import lines
+from .clock import Clock
+from .command import CommandServer, Move
+from .entrance import Entrance
+
+QUIET_MS = 450.0  # told to go, new connections still come this long; one moved now would come back here
+KILL_MS = 700.0  # SIGKILL comes this long after the longest deadline, or later
+LONGEST_MS = 3000.0  # and a deadline longer than this counts as this
+STEP_MS = 50.0
+LATE_MS = 1000.0  # sent away by hand: whoever comes later than this is refused, the front has long heard
+AWAY_MS = 3000.0  # and all have been told to move by then; 4 s are allowed, and a line under way takes its time
+AGAIN_MS = 1000.0  # those refused come again after this
+
+
+class Leaving:
+    def __init__(self, server: CommandServer, entrance: Entrance, clock: Clock) -> None:
+        self.server, self.entrance, self.clock = server, entrance, clock
+        self.away: asyncio.Task | None = None  # a drain by hand
+        self.stopping = False
+
+    def why(self) -> str:
+        """Why no clients are taken; empty where they are."""
+        if self.stopping:
+            return "not ready: the process is stopping"
+        return "not ready: clients are sent away" if self.away else ""
+
+    def by_hand(self) -> str:
+        if self.stopping:
+            return "not done: the process is stopping"
+        if not self.away:
+            say("drain", f"{len(self.server.commands)} clients are sent away")
+            self.entrance.away = True
+            self.away = asyncio.get_running_loop().create_task(self.send_away())
+        return ""
+
+    def back(self) -> str:
+        if self.stopping:
+            return "not done: the process is stopping"
+        if self.away:
+            say("drain", "ended: clients are taken again")
+            self.end_drain()
+        return ""
+
+    def end_drain(self) -> None:
+        if self.away:
+            self.away.cancel()
+        self.away, self.entrance.away, self.entrance.refuses = None, False, False
+
+    async def send_away(self) -> None:
+        """Until the drain ends: whoever is here is moved, evenly over the time, and whoever comes up later at once."""
+        began = self.clock.now()
+        until = began + AWAY_MS
+        await self.clock.sleep(QUIET_MS)
+        while True:
+            now = self.clock.now()
+            self.entrance.refuses = now >= began + LATE_MS
+            self.move_some(until - now)
+            if now >= until:
+                self.refuse_waiting()
+            await self.clock.sleep(STEP_MS)
+
+    def move_some(self, left_ms: float) -> None:
+        """The part of a step, where all are to be told within that time."""
+        still = [c for c in self.server.commands.values() if c.up.is_set() and not c.moving]
+        turns = max(1.0, left_ms / STEP_MS)
+        for command in still[:max(1, round(len(still) / turns + 0.49))]:
+            command.mailbox.put(Move("cancelled"))
+
+    def refuse_waiting(self) -> None:
+        for command in list(self.server.commands.values()):
+            if not command.up.is_set() and not command.ended:
+                command.mailbox.put(lines.nack(AGAIN_MS))
+
+    async def stop(self, inherited: bool) -> None:
+        """SIGTERM: moves the clients over the time there is, and holds nothing when SIGKILL comes.
+
+        An inherited listening socket is the successor's at once. Else new connections come here a while longer.
+        """
+        self.stopping = True
+        self.end_drain()
+        began = self.clock.now()
+        longest = min(LONGEST_MS, max(c.deadline_us for c in self.server.decider.balancer.set.classes) / 1000)
+        until = began + longest + KILL_MS - 500
+        if inherited:
+            self.entrance.close()
+        else:
+            await self.clock.sleep(QUIET_MS)
+        while self.server.commands and (now := self.clock.now()) < until:
+            self.move_some(until - 200 - now)
+            await self.clock.sleep(STEP_MS)
+        for command in list(self.server.commands.values()):
+            command.mailbox.put(Move("cancelled") if command.up.is_set() else lines.nack(AGAIN_MS))
+        await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
--- a/glenrock/net/peers.py
+++ b/glenrock/net/peers.py
@@ -20,12 +20,15 @@
 
 class Peers:
     def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
-                 post: Callable[[io.Event], bool], balancers: int) -> None:
+                 post: Callable[[io.Event], bool], balancers: int, shared: bool = False) -> None:
         self.post, self.balancers = post, balancers
         self.index: dict[Address, int] = {}
         self.move(peers, everyone)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
+        if shared:
+            # Two processes of an upgrade hold the address, and the one that bound it last gets what comes.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(listen)
         asyncio.get_running_loop().add_reader(self.sock, self.receive)
 
--- a/wheatrouter/interface.py
+++ b/wheatrouter/interface.py
@@ -184,6 +184,15 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class ByHand:
+    """Operators take a server out of rotation, or let it serve again. It stands whatever a list says."""
+
+    server: str
+    out: bool
+    at_us: int = 0  # back: called back then; 0: now
+
+
 @dataclass(slots=True)
 class PeerMessage:
     peer: int
@@ -191,7 +200,7 @@
 
 
 Event = (ServerList | Request | OpenConnection | Started | ServerNote | AttemptEnded | ClientGone
-         | TimerFired | ProbeResult | PeerMessage)
+         | TimerFired | ProbeResult | PeerMessage | ByHand)
 
 
 # ---- actions ---------------------------------------------------------------------------------------
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -23,7 +23,8 @@
     zone: str
     cell: int
     code: int  # hash of the id
-    ready: bool = False
+    ready: bool = False  # listed as such, and not out by hand
+    listed: bool = False  # the list says that it is ready
     started_us: int = 0
     weight: float = 1.0
     load: float = -1.0  # part of capacity in use as last learned; below 0: not known
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -8,8 +8,9 @@
 
 import random
 
-from . import cold, estimates
+from . import cold, estimates, setups
 from . import interface as io
+from .hand import Hand, restart
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
 from .recovery.domains import Domains
 from .ring import MASK, mix, points
@@ -57,7 +58,7 @@
         self.set = s = settings
         self.classes = {c.name: c for c in s.classes}
         self.late_load = LATE
-        self.domains = Domains()  # links to other zones
+        self.domains, self.hand = Domains(), Hand()  # links to other zones; servers out by hand
         self.rng = random.Random(seed)
         self.salt = self.rng.getrandbits(64)
         # Session Duration: a client cut off comes back within the longest retry-after or so.
@@ -71,7 +72,7 @@
             io.ServerList: self.on_list, io.Request: self.on_request, io.OpenConnection: self.on_open,
             io.Started: self.on_started, io.ServerNote: self.on_note, io.AttemptEnded: self.on_ended,
             io.ClientGone: self.on_gone, io.TimerFired: self.on_timer, io.ProbeResult: self.on_probe,
-            io.PeerMessage: self.on_peer}
+            io.PeerMessage: self.on_peer, io.ByHand: self.on_hand}
 
     def handle(self, now_us: int, events: list[io.Event]) -> list[io.Action]:
         first, self.now, self.out, self.odd = not self.now, now_us, [], []
@@ -109,7 +110,7 @@
         if e.kind != "changes":
             named = {x.server for x in e.entries}
             for s in [s for s in self.servers.values() if s.id not in named]:
-                self.set_ready(s, False)
+                self.list_ready(s, False)
                 if not s.held and e.kind == "full" and not any(
                         a.server is s for f in self.flows.values() for a in f.attempts):
                     del self.servers[s.id]
@@ -120,16 +121,25 @@
                 s = self.servers[x.server] = Server(x.server, x.zone, x.cell, code_of(x.server))
                 s.weight = min(WEIGHT_MAX, max(0.25, x.size / mean)) if mean > 0 else 1.0
             s.zone, s.cell = x.zone, x.cell
-            self.set_ready(s, x.state == "ready")
-            if x.started_us > s.started_us:
-                # A restart: what was known of the old process is void, and the new one is cold.
-                s.started_us, s.down_until, s.failures, s.load = x.started_us, 0, 0, -1.0
+            self.list_ready(s, x.state == "ready")
+            if (started := self.hand.started(s.id, x.started_us)) > s.started_us:
+                restart(s, started)
+        self.change_rings()
+
+    def change_rings(self) -> None:
         # One change for the whole list: server by server, thousands of them take seconds.
         self.ring.change([change[:3] for change in self.changed])
         self.local.change([change[:3] for change in self.changed if change[3]])
         self.changed.clear()
 
-    def set_ready(self, s: Server, ready: bool) -> None:
+    def on_hand(self, e: io.ByHand) -> None:
+        if self.hand.take(e, self.now) and (s := self.servers.get(e.server)):
+            restart(s, max(s.started_us, self.hand.started(s.id, 0)))
+            self.list_ready(s, s.listed)
+            self.change_rings()
+
+    def list_ready(self, s: Server, listed: bool) -> None:
+        s.listed, ready = listed, listed and self.hand.allows(s.id)
         if s.ready != ready:
             s.ready = ready
             # Gone counts too: a machine that vanished leaves its connections open and silent.
@@ -295,24 +305,6 @@
             if self.cap > 4 * active:
                 self.cap = float("inf")
 
-    def learn_rate(self) -> None:
-        """Set-ups a second, limited only while many of them fail: at their store, which all servers call.
-
-        Danger: a mass return on a slow store fails everywhere, and each failure is tried again at once; so
-        the rate falls to what lately succeeded, and what is past it waits. Never below the usual arrivals.
-        """
-        per_s = S / ROUND_US
-        self.usual += (self.arrivals * per_s - self.usual) * 0.05
-        if len(self.ill_at) >= 3 and self.ill > self.well / 3:
-            self.rate = max(self.usual, 1.0, 0.9 * per_s * self.well)
-        elif self.rate < float("inf"):
-            self.rate = self.rate * 1.1 + 0.5
-            if self.rate > 40 * max(1.0, self.usual):
-                self.rate = float("inf")
-        self.setups = min(self.rate, max(0.0, self.setups) + self.rate / per_s)
-        self.arrivals = self.ill = self.well = 0
-        self.ill_at.clear()
-
     # == lagged shares and slots ===================================================================
 
     def share(self) -> float | None:
@@ -588,7 +580,9 @@
     def hold(self, f: Flow) -> None:
         if any(not a.verdict for a in f.attempts):
             return
-        if len(f.attempts) < self.set.max_attempts and self.now < f.arrived + f.kind.aim_us:
+        # With the last server out by hand there is nothing to wait for: the refusal goes at once.
+        if (self.ring or not self.hand.out) and len(f.attempts) < self.set.max_attempts \
+                and self.now < f.arrived + f.kind.aim_us:
             self.held[f.event.id] = None
         else:
             self.end(f)
@@ -757,7 +751,7 @@
         self.history = [h for h in self.history if self.now - h[0] <= LAG_US]
         self.history.append((self.now, len(self.sessions) + len(self.line), self.known_active()))
         self.learn_cap()
-        self.learn_rate()
+        setups.learn(self, ROUND_US)
         ready = sum(s.ready for s in self.servers.values())
         self.capacity = self.active * self.set.balancers / max(1, ready) / max(0.1, self.fleet)
         self.standing = sum(f.load for f in self.flows.values() if f.server)
