Hand standing connections to a new version in place of moving them

Ruled out: the door (0 requests ended there), late readiness (0.2 to 0.6 s). Change: glenrock/upgrade/handover.py passes both sockets of a relay in one message; pumps wait for readability and read themselves, so that stopping one loses no byte. What cannot be handed over is moved as before. A connection that stands at an instance which was to go before this process knew it is moved too.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -19,7 +19,7 @@
 from .config import AT_START, Config, ConfigError, read
 from .log import say
 from .net.clock import Clock
-from .net.command import CommandServer
+from .net.command_server import CommandServer
 from .net.counts import Counts
 from .net.decider import Decider
 from .net.entrance import Entrance
@@ -86,11 +86,13 @@
                                config.settings.balancers, config.accept_fd is not None)
             self.decider.tell = self.peers.tell
         self.tasks: set[asyncio.Task] = set()
-        self.inherited = None
+        self.inherited = self.taker = None
         if config.accept_fd is not None:
+            from .upgrade.handover import Taker
             from .upgrade.inherited import listener
 
             self.inherited = listener(config.accept_fd)
+            self.taker = Taker(config.folder, self.server) if config.folder else None
 
     def run(self, work: Coroutine[None, None, None]) -> None:
         # The loop itself keeps no hold on a task.
@@ -107,6 +109,8 @@
             await self.table.first.wait()
         self.entrance.open(self.inherited or self.entrance.listen(self.config.listen))
         self.run(self.server.sweep())
+        if self.taker:
+            self.taker.listen()
         if self.operators:
             self.operators.operations.serves = True
         say("ready", f"{self.config.name} serves on {self.config.listen[0]}:{self.config.listen[1]}")
@@ -137,7 +141,12 @@
             if task.done():
                 raise RuntimeError("an actor ended") from task.exception()
         say("stopping", f"{len(self.server.commands)} clients to hand back")
-        await self.leaving.stop(self.inherited is not None)
+        successor = None
+        if self.taker:
+            from .upgrade.handover import Giver
+
+            successor = Giver(self.config.folder, self.clock, self.taker.inode)
+        await self.leaving.stop(self.inherited is not None, successor)
         say("stopped", f"{len(self.server.commands)} clients left")
 
 
--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -4,7 +4,7 @@
 
 from wheatrouter.hand import avoided
 
-from ..net.command import CommandServer
+from ..net.command_server import CommandServer
 from ..net.decider import Decider
 from ..net.instance import Instances
 from ..net.leaving import Leaving
--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -1,36 +1,35 @@
-"""Commands: a client from its first line to its end, and the table of them all."""
+"""Commands: a client from its first line to its end."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import socket
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from wheatrouter import interface as io
 
 from ..log import say
 from . import lines
-from .clock import Clock, micros
-from .counts import Counts
-from .decider import Decider
-from .entrance import FEW, LINGER_MS
+from .clock import micros
+from .entrance import LINGER_MS
 from .errors import End, Outcome, Reach
-from .instance import Execution, Instances, end
+from .instance import Execution, end
 from .mailbox import Mailbox
+from .readiness import recv_into
+
+if TYPE_CHECKING:
+    from .command_server import CommandServer
 
-SILENT_MS = 4500.0  # a client line unanswered this long: its instance is out of reach (7 s is the rule)
 STANDING_MS = 38_000.0  # a standing connection is lost when it is not up after 40 s
 UNKNOWN_MS = 2000.0  # where one stands at an instance that nobody knows, its client is owed a word within 3 s
 AGAIN_MS = 250.0  # between two tries for one
 GUARD_MS = 20.0  # a command that has no decision this long after its time is failed; 58 ms are allowed
-SWEEP_MS = 250.0
-NOTE_MS = 1000.0  # word of slow messages at an instance, at most this often
 BUFFER = 8192
 MAIL = 32  # messages that may wait for one command
-RESERVE = 24  # descriptors kept for everything but clients, besides one probe connection an instance
-WAITS = 10.0  # a client that wants to wait this many times its class's deadline sent no sound number
 
 
 class Ended(Enum):
@@ -57,6 +56,11 @@
     verdict: str
 
 
+@dataclass(frozen=True)
+class HandOver:
+    give: Callable[[Command], Awaitable[bool]]  # true once another process has taken the relay
+
+
 class Command:
     """One client connection from its first line to its end: an actor. It alone closes its sockets."""
 
@@ -75,7 +79,9 @@
         self.splitter = lines.Splitter()
         self.asked_at: float | None = None  # the oldest client line that nothing has answered
         self.moving = ""  # the verdict of a move that is under way
-        self.idle = False  # the down pump waits for the instance
+        self.idle = self.idle_up = False  # the down pump waits for the instance, the other one for the client
+        self.offered = False  # to a successor
+        self.load = opened.load  # as last known, where it comes from another process
         self.last_word = ""
         self.tasks: list[asyncio.Task] = []
 
@@ -112,7 +118,7 @@
 
     def request(self) -> io.Request:
         f, o = self.opened.fields, self.opened
-        return io.Request(o.id, f["c"], micros(self.deadline), o.key, o.group, f.get("t", ""), o.load,
+        return io.Request(o.id, f["c"], micros(self.deadline), o.key, o.group, f.get("t", ""), self.load,
                           f.get("again") == "1")
 
     async def run(self) -> None:
@@ -221,7 +227,12 @@
         """Client to instance; before UP it only notices the client's end."""
         buffer, ended = bytearray(BUFFER), Ended.CLIENT_FIN
         try:
-            while count := await loop.sock_recv_into(self.sock, buffer):
+            while True:
+                self.idle_up = True
+                count = await recv_into(loop, self.sock, buffer)
+                self.idle_up = False
+                if not count:
+                    break
                 if not self.up.is_set():
                     # A client waits for its answer. What it sends before must never reach an instance: it
                     # would be read there as a first line, or as one of another command.
@@ -238,6 +249,9 @@
                     return
         except OSError:
             ended = Ended.CLIENT_RST
+        except asyncio.CancelledError:
+            ended = None  # stopped: the client is still there
+            raise
         finally:
             if ended:
                 self.mailbox.put(ended)
@@ -245,6 +259,7 @@
     async def pump_down(self, loop: asyncio.AbstractEventLoop) -> None:
         """Instance to client, and what the lines tell the module."""
         inst, chunk, ended = self.execution.sock, self.execution.first, Ended.INSTANCE_FIN
+        self.execution.first = b""
         buffer = bytearray(BUFFER)
         try:
             while True:
@@ -259,7 +274,7 @@
                     ended = Ended.BETWEEN_LINES
                     break
                 self.idle = True
-                count = await loop.sock_recv_into(inst, buffer)
+                count = await recv_into(loop, inst, buffer)
                 self.idle = False
                 if not count:
                     if not self.moving:
@@ -290,6 +305,9 @@
             for mail in await self.mailbox.take():
                 if isinstance(mail, Move):
                     self.begin_move(mail.verdict)
+                elif isinstance(mail, HandOver):
+                    if await self.hand_over(mail.give):
+                        return
                 elif mail is Ended.OVERDUE and self.moving:
                     # No line end came. Within a line MOVE would be read as part of it: a reset instead.
                     whole = self.idle and self.splitter.between
@@ -309,6 +327,45 @@
             with contextlib.suppress(OSError):
                 self.execution.sock.shutdown(socket.SHUT_RD)
 
+    def still(self) -> bool:
+        """Up, and both pumps wait with nothing read that is not written: another process may go on from here."""
+        return (self.up.is_set() and not self.moving and not self.ended and self.idle and self.idle_up
+                and not any(task.done() for task in self.tasks))
+
+    async def hand_over(self, give: Callable[[Command], Awaitable[bool]]) -> bool:
+        self.offered = False
+        if not self.still():
+            return False
+        await self.stop_pumps(0)
+        if not await give(self):
+            self.start_pumps()
+            return False
+        # The connection goes on, elsewhere: closed here, but never shut down.
+        self.ended = True
+        self.execution.sock.close()
+        self.execution.sock = None
+        self.sock.close()
+        self.tell_end("cancelled")
+        return True
+
+    def start_pumps(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self.pump_up(loop)), loop.create_task(self.pump_down(loop))]
+
+    def take_over(self, name: str, sock: socket.socket) -> None:
+        """A relay that stood in another process: its pumps run once this returns."""
+        self.name, self.attempt, self.counted = name, 0, True
+        self.execution = Execution(self.opened.line, 0, self.answered, True, sock, reach=Reach.UP)
+        self.up.set()
+        self.decider.post(io.OpenConnection(self.request(), name))
+        self.start_pumps()
+
+    async def carry_on(self) -> None:
+        try:
+            await self.relay()
+        finally:
+            await self.close()
+
     async def hand_back(self) -> None:
         await self.stop_pumps(1)
         self.close_instance()
@@ -374,74 +431,3 @@
         if x and not self.up.is_set() and x.task and not x.task.done():
             x.withdraw()
             await asyncio.wait([x.task])
-
-
-class CommandServer:
-    """Keeps the table of commands, and watches for silent instances."""
-
-    def __init__(self, decider: Decider, instances: Instances, clock: Clock, sockets: int,
-                 measures_delay: bool, counts: Counts) -> None:
-        self.decider, self.instances, self.clock = decider, instances, clock
-        self.sockets = sockets
-        self.commands: dict[str, Command] = {}
-        self.counts = counts
-        self.kept = RESERVE  # descriptors
-        decider.commands = self.commands
-        settings = decider.balancer.set
-        self.known = lines.Known({c.name: WAITS * c.deadline_us / 1000 for c in settings.classes},
-                                 frozenset(t.name for t in settings.tenants))
-        aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
-        self.slow_ms = min(aims) / 3000 if aims and measures_delay else 0.0
-        self.noted: dict[str, float] = {}  # instances whose messages were slow, and when that was told
-
-    def knows(self, id_: str) -> bool:
-        return id_ in self.commands
-
-    def free(self) -> int:
-        """Descriptors that neither commands nor the program's other parts need: a relay takes two."""
-        return self.sockets - self.kept - len(self.instances.all) - 2 * len(self.commands)
-
-    def open(self) -> int:
-        """Commands taken that have not had their last word."""
-        return sum(not c.ended for c in self.commands.values())
-
-    def turned_away(self, outcome: str, class_: str) -> None:
-        """A connection with a sound first line has had its answer from the entrance."""
-        self.counts.add(outcome, class_)
-
-    def full(self) -> bool:
-        return self.free() < 2 + FEW
-
-    def room(self) -> int:
-        """Connections that may be open without a command."""
-        return max(FEW, min(self.free(), self.sockets // 4))
-
-    async def serve(self, sock: socket.socket, opened: lines.Open) -> None:
-        command = self.commands[opened.id] = Command(self, sock, opened)
-        try:
-            await command.run()
-        finally:
-            command.gone()
-            command.count("faulted")  # an exception ended it
-            del self.commands[opened.id]
-
-    def took(self, command: Command, ms: float) -> None:
-        """A message's time at an instance: told while it is slow, and once when it no longer is."""
-        if not self.slow_ms:
-            return
-        slow, told = ms > self.slow_ms, self.noted.get(command.name)
-        if slow and (told is None or self.clock.now() - told >= NOTE_MS):
-            self.noted[command.name] = self.clock.now()
-        elif slow or self.noted.pop(command.name, None) is None:
-            return
-        self.decider.post(io.ServerNote(command.opened.id, command.name, message_us=ms * 1000))
-
-    async def sweep(self) -> None:
-        while True:
-            await self.clock.sleep(SWEEP_MS)
-            oldest = self.clock.now() - SILENT_MS
-            for command in self.commands.values():
-                if command.asked_at is not None and command.asked_at < oldest and not command.moving:
-                    say("silent", f"{command.name} answers {command.opened.id} no more: client moved")
-                    command.mailbox.put(Move("broken"))
-            self.instances.tidy()
--- a/glenrock/net/decider.py
+++ b/glenrock/net/decider.py
@@ -49,6 +49,11 @@
     def post(self, event: io.Event) -> bool:
         return self.mailbox.put(event)
 
+    def load_of(self, id_: str) -> int:
+        """The load of a command as last known; 0 where the module does not have it."""
+        flow = self.balancer.flows.get(id_)
+        return int(flow.load) if flow else 0
+
     def order(self, event: io.Event) -> None:
         self.orders.append(event)
         self.mailbox.wake()
--- a/glenrock/net/leaving.py
+++ b/glenrock/net/leaving.py
@@ -3,24 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 
 from wheatrouter import interface as io
 
 from ..log import say
 from . import lines
 from .clock import Clock
-from .command import CommandServer, Move
+from .command import Command, HandOver, Move
+from .command_server import CommandServer
 from .entrance import Entrance
 
 QUIET_MS = 450.0  # told to go, new connections still come this long; one moved now would come back here
 KILL_MS = 700.0  # SIGKILL comes this long after the longest deadline, or later
 LONGEST_MS = 3000.0  # and a deadline longer than this counts as this
 STEP_MS = 50.0
+HAND_MS = 10.0  # between two looks for relays that can be handed over
+AT_ONCE = 16  # relays that may wait for their turn, their pumps stopped
+MOVES_MS = 700.0  # kept for moving what could not be
 LATE_MS = 1000.0  # sent away by hand: whoever comes later than this is refused, the front has long heard
 AWAY_MS = 3000.0  # and all have been told to move by then; 4 s are allowed, and a line under way takes its time
 AGAIN_MS = 1000.0  # those refused come again after this
 
 
+class Successor(Protocol):
+    """The process that came after this one, as `glenrock.upgrade.handover.Giver` knows it."""
+
+    sock: object | None
+    given: int
+
+    def open(self) -> bool: ...
+    async def give(self, command: Command) -> bool: ...
+
+
 class Leaving:
     def __init__(self, server: CommandServer, entrance: Entrance, clock: Clock) -> None:
         self.server, self.entrance, self.clock = server, entrance, clock
@@ -82,24 +97,40 @@
             if not command.up.is_set() and not command.ended:
                 command.mailbox.put(lines.nack(AGAIN_MS))
 
-    async def stop(self, inherited: bool) -> None:
-        """SIGTERM: moves the clients over the time there is, and holds nothing when SIGKILL comes.
+    async def stop(self, inherited: bool, successor: Successor | None) -> None:
+        """SIGTERM: hands the relays to a successor where there is one, moves the other clients over the time there is,
+        and holds nothing when SIGKILL comes.
 
         An inherited listening socket is the successor's at once. Else new connections come here a while longer.
         """
         self.stopping = True
         self.end_drain()
-        self.server.decider.order(io.Going(True))
+        decider, commands = self.server.decider, self.server.commands
+        decider.order(io.Going(True))
         began = self.clock.now()
-        longest = min(LONGEST_MS, max(c.deadline_us for c in self.server.decider.balancer.set.classes) / 1000)
+        longest = min(LONGEST_MS, max(c.deadline_us for c in decider.balancer.set.classes) / 1000)
         until = began + longest + KILL_MS - 500
         if inherited:
             self.entrance.close()
         else:
             await self.clock.sleep(QUIET_MS)
-        while self.server.commands and (now := self.clock.now()) < until:
+        if successor and successor.open():
+            # It speaks for this balancer now. Two that did would be heard in turn.
+            decider.tell = lambda data: None
+            await self.hand_over(successor, until - MOVES_MS)
+        while (commands or inherited and self.entrance.unheard) and (now := self.clock.now()) < until:
             self.move_some(until - 200 - now)
             await self.clock.sleep(STEP_MS)
-        for command in list(self.server.commands.values()):
+        for command in list(commands.values()):
             command.mailbox.put(Move("cancelled") if command.up.is_set() else lines.nack(AGAIN_MS))
-        await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
+        if commands or not inherited:
+            await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
+
+    async def hand_over(self, successor: Successor, until: float) -> None:
+        """Relays as they stand, and those that come up meanwhile."""
+        while successor.sock and (self.server.commands or self.entrance.unheard) and self.clock.now() < until:
+            ready = [c for c in self.server.commands.values() if not c.offered and c.still()]
+            for command in ready[:AT_ONCE]:
+                command.offered = command.mailbox.put(HandOver(successor.give))
+            await self.clock.sleep(HAND_MS)
+        say("upgrade", f"{successor.given} relays handed over, {len(self.server.commands)} commands left")
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -437,6 +437,8 @@
         f = self.flow_of(e.request)
         f.attempts.append(Attempt(s, self.now))
         f.server, f.answered = s, True
+        if not s.ready and not s.leaves_by:
+            s.leaves_by = self.now + LEAVE_US  # it was to go before this balancer knew it
         self.flows[e.request.id] = f
         self.stand(f, s)
         self.enter(f)
