--- a/glenrock/net/entrance.py
+++ b/glenrock/net/entrance.py
@@ -153,9 +153,11 @@
             data, pinged = b"", True
         opened = lines.parse_open(data, self.commands.known)
         if isinstance(opened, lines.Open) and self.commands.knows(opened.id):
-            self.commands.turned_away("faulted", opened.fields["c"])
             opened = "the id of a command that is open"
         if isinstance(opened, str):
+            first = lines.parse_open(data.partition(b"\n")[0] + b"\n", self.commands.known)
+            if isinstance(first, lines.Open):  # what is wrong came behind it: it has a class, and counts there
+                self.commands.turned_away("faulted", first.fields["c"])
             say("first line", f"not understood, {opened}: {data[:120]!r}")
             await self.turn_away(sock, lines.FAILED)
         elif self.refuses or self.commands.full():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -209,6 +209,36 @@
     asyncio.run(stopped_alone(tmp_path))
 
 
+async def in_a_row(folder: Path) -> None:
+    site = Site(folder)
+    await site.open()
+    try:
+        await site.start()
+        clients = [asyncio.create_task(client(site, n, 50, 0.1)) for n in range(20)]
+        await asyncio.sleep(0.5)
+        await site.start()
+        # The second is told to go while the first still goes.
+        starting = asyncio.create_task(site.start())
+        site.processes[0].send_signal(signal.SIGTERM)
+        await starting
+        site.processes[1].send_signal(signal.SIGTERM)
+        for process in site.processes[:2]:
+            assert await asyncio.wait_for(process.wait(), 5) == 0
+        ends = await asyncio.gather(*clients)
+        assert ends.count("kept") == 20, (ends, site.log(0), site.log(1), site.log(2))
+        # And one that is killed outright takes its clients with it; the door stays open.
+        site.processes[2].kill()
+        late = asyncio.create_task(client(site, 90, 1, 0.1))
+        await site.start()
+        assert await late == "kept"
+    finally:
+        await site.close()
+
+
+def test_a_second_upgrade_right_after_the_first_and_a_kill(tmp_path: Path) -> None:
+    asyncio.run(in_a_row(tmp_path))
+
+
 async def both(folder: Path) -> None:
     site = Site(folder)
     await site.open()
