Work out what a server can do from the whole tier, and not while clients change balancers

And its part of the tier was taken for its part of each server's load: a slow server that had just been given 14 connections seemed to bear ten times as much, lost its mark as slow, and dropped 20. Ruled out: the cold budget (bound by the fourth rule), links, set-up limits. Change: capacity goes by all known actives; what a server can do is not learned while this balancer's load changes by a third within the lag.

--- a/wheatrouter/estimates.py
+++ b/wheatrouter/estimates.py
@@ -10,6 +10,8 @@
 USUAL_LEAST = 0.15  # of what the servers usually do, on average
 FEW = 5  # connections of ours at a server that say something of what it can do
 GUESS = 1.0  # the mean load is guessed no higher than this when servers are lost
+STEADY = 0.67  # of the most that this balancer carried lately: no less, and its part of the tier is steady
+STEADY_US = 4_000_000  # lately
 BACK_US = 1_000_000  # clients of servers that are lost come to the others within this
 
 
@@ -20,12 +22,12 @@
     cap while the others have room. So each counts by the part of its own usual capacity that it still has:
     the load it bears here, over its capacity in use.
     """
-    ours = min(1.0, max(0.05, m.active / max(1.0, active)))
+    ours, even = min(1.0, max(0.05, m.active / max(1.0, active))), steady(m)
     for s, load in seen:
         held = sum(f.load for f in s.held.values())
         # Danger: with a connection or two of the hundred that stand there its capacity comes out anyhow;
         # one that is full then counts as slow, the mean goes down, and the cap stays open.
-        if load > 0.1 and held > 2 * m.mean_load and len(s.held) >= FEW:
+        if even and load > 0.1 and held > 2 * m.mean_load and len(s.held) >= FEW:
             can = held / ours / load
             s.can += (can - s.can) * CAN_GAIN if s.can else can
             s.usual += (can - s.usual) * USUAL_GAIN if s.usual else can
@@ -38,6 +40,18 @@
     return sum(s.part * load for s, load in seen) / sum(s.part for s, _ in seen)
 
 
+def steady(m: Memory) -> bool:
+    """Whether this balancer's part of the tier has been much the same lately.
+
+    Danger: its part of a server's load is taken for its part of the tier. While another sends clients here
+    they stand where they were just put; a slow server that took a dozen seemed to bear the load of ten.
+    """
+    m.carried = [(at, load) for at, load in m.carried if m.now - at <= STEADY_US]
+    m.carried.append((m.now, m.active))
+    loads = [load for _, load in m.carried]
+    return min(loads) >= STEADY * max(loads)
+
+
 def follow(m: Memory, warm: Sequence[Server], belief: Callable[[Server], float]) -> tuple[int, float]:
     """When servers were last lost, and the mean load with those in reach now, to whom comes what stood there.
 
--- a/wheatrouter/hand.py
+++ b/wheatrouter/hand.py
@@ -1,8 +1,8 @@
 """Servers taken out of rotation by hand. Pure: rules.py asks, and acts.
 
-A ban lasts until the call back, whatever the list says meanwhile: that the server is ready, gone, listed anew or
-started again. To the server's clients it is a drain told now. On return it counts as just started, since it may have
-been restarted meanwhile and the list tells so seconds late. Times are microseconds.
+A ban lasts until the call back, whatever the list says meanwhile: that the server is ready, gone, listed anew
+or started again. To the server's clients it is a drain told now. On return it counts as just started: it may
+have been restarted meanwhile, and the list tells so seconds late. Times are microseconds.
 """
 
 from __future__ import annotations
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -141,6 +141,7 @@
         self.newcomers_pass = True
         self.younger, self.kept_out = 0, False  # buckets past the partial one that pass too
         self.history: list[tuple[int, int, float]] = []  # time, clients seen here, actives known
+        self.carried: list[tuple[int, float]] = []  # times and loads of this balancer's sessions, lately
         self.told_at = 0
         self.going = False  # all clients here are sent away
         self.ask_at = 0
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -620,7 +620,7 @@
             self.ill_at.add(s.id)
             if len(self.ill_at) >= 3 and self.ill > 6 + 2 * self.well:
                 self.setups = min(self.setups, 0.0)  # a storm: no more until the rate is worked out
-        # Danger: a client that this balancer sends away stands at another, and would count at both for seconds.
+        # Danger: a client that is sent away stands at another balancer, and would count at both for seconds.
         keep = not self.going
         if e.verdict in ("full", "no_connection", "timeout", "error", "broken"):
             self.cut(s)
@@ -759,7 +759,9 @@
         self.learn_cap()
         setups.learn(self, ROUND_US)
         ready = sum(s.ready for s in self.servers.values())
-        self.capacity = self.active * self.set.balancers / max(1, ready) / max(0.1, self.fleet)
+        # Danger: shares are uneven, most while one balancer drains; by its own a server looks full at once.
+        tier = self.known_active() * self.set.balancers / (1 + len(self.peers))
+        self.capacity = tier / max(1, ready) / max(0.1, self.fleet)
         self.standing = sum(f.load for f in self.flows.values() if f.server)
         self.divide_slots()
         self.empty()
--- a/wheatrouter/setups.py
+++ b/wheatrouter/setups.py
@@ -1,7 +1,7 @@
 """Set-ups a second, limited only while many of them fail: at their store, which all servers call.
 
-Danger: a mass return on a slow store fails everywhere, and each failure is tried again at once; so the rate falls to
-what lately succeeded, and what is past it waits. Never below the usual arrivals.
+Danger: a mass return on a slow store fails everywhere, and each failure is tried again at once; so the rate
+falls to what lately succeeded, and what is past it waits. Never below the usual arrivals.
 """
 
 from __future__ import annotations
