--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -86,19 +86,30 @@
                                config.settings.balancers, config.accept_fd is not None)
             self.decider.tell = self.peers.tell
         self.tasks: set[asyncio.Task] = set()
-        self.inherited = self.taker = None
+        self.inherited = self.taker = self.neighbours = None
         if config.accept_fd is not None:
-            from .upgrade.handover import Taker
             from .upgrade.inherited import listener
 
             self.inherited = listener(config.accept_fd)
-            self.taker = Taker(config.folder, self.server) if config.folder else None
+            if config.folder:
+                from .upgrade.handover import Taker
+                from .upgrade.neighbours import Neighbours
+
+                self.taker = Taker(config.folder, self.server)
+                self.neighbours = Neighbours(config.folder, os.getpid())
 
     def run(self, work: Coroutine[None, None, None]) -> None:
         # The loop itself keeps no hold on a task.
         self.tasks.add(asyncio.get_running_loop().create_task(work))
 
     async def start(self) -> None:
+        if self.neighbours:
+            try:
+                self.neighbours.arrive()
+            except OSError as bad:
+                say("upgrade", f"the other process does not know of this one: {bad}")
+            self.server.elsewhere = self.neighbours.descriptors
+            self.server.others = self.neighbours.descriptors()
         if self.operators:
             self.operators.start(self)
         self.table.remember(self.config.known)
@@ -147,6 +158,8 @@
 
             successor = Giver(self.config.folder, self.clock, self.taker.inode)
         await self.leaving.stop(self.inherited is not None, successor)
+        if self.neighbours:
+            self.neighbours.leave()
         say("stopped", f"{len(self.server.commands)} clients left")
 
 
--- a/glenrock/net/command_server.py
+++ b/glenrock/net/command_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from wheatrouter import interface as io
 
@@ -36,6 +36,8 @@
         self.adopted: set[asyncio.Task] = set()  # the loop itself keeps no hold on a task
         self.counts = counts
         self.kept = RESERVE  # descriptors
+        self.elsewhere: Callable[[], int] = lambda: 0  # held by another process under the same limit
+        self.others = 0  # as of the last sweep
         decider.commands = self.commands
         settings = decider.balancer.set
         self.known = lines.Known({c.name: WAITS * c.deadline_us / 1000 for c in settings.classes},
@@ -49,7 +51,7 @@
 
     def free(self) -> int:
         """Descriptors that neither commands nor the program's other parts need: a relay takes two."""
-        return self.sockets - self.kept - len(self.instances.all) - 2 * len(self.commands)
+        return self.sockets - self.kept - self.others - len(self.instances.all) - 2 * len(self.commands)
 
     def open(self) -> int:
         """Commands taken that have not had their last word."""
@@ -103,6 +105,7 @@
     async def sweep(self) -> None:
         while True:
             await self.clock.sleep(SWEEP_MS)
+            self.others = self.elsewhere()
             oldest = self.clock.now() - SILENT_MS
             for command in self.commands.values():
                 if command.asked_at is not None and command.asked_at < oldest and not command.moving:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,6 +8,7 @@
 import re
 import signal
 import socket
+import subprocess
 import sys
 from pathlib import Path
 
@@ -16,7 +17,9 @@
 from hypothesis import strategies as st
 
 from glenrock.config import ConfigError
+from glenrock.net.peers import Peers
 from glenrock.upgrade import inherited, state
+from glenrock.upgrade.neighbours import Neighbours
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS = {"balancers": 1, "caps": {"maxAttempts": 3, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 500000},
@@ -274,6 +277,58 @@
         state.read(str(tmp_path))
 
 
+def test_the_other_process_counts_while_it_lives(tmp_path: Path) -> None:
+    code = "import sys; files = [open('/dev/null') for _ in range(50)]; print(flush=True); sys.stdin.read()"
+    other = subprocess.Popen([sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    try:
+        other.stdout.readline()
+        here, there = Neighbours(str(tmp_path), os.getpid()), Neighbours(str(tmp_path), other.pid)
+        here.arrive()
+        assert here.descriptors() == 0
+        there.arrive()
+        assert 50 <= here.descriptors() <= 60
+        (tmp_path / f"glenrock-process-{os.getppid()}-1").touch()  # a pid that is another's by now
+        assert 50 <= here.descriptors() <= 60
+    finally:
+        other.communicate()
+    assert here.descriptors() == 0
+    assert [name.name for name in tmp_path.iterdir()] == [here.mark]
+    here.leave()
+    assert not list(tmp_path.iterdir())
+
+
+def test_the_process_that_bound_the_peers_address_last_hears() -> None:
+    async def heard() -> None:
+        got: list[tuple[str, bytes]] = []
+        sender = socket.socket(type=socket.SOCK_DGRAM)
+        sender.bind(("127.0.0.1", 0))
+        peers = (("127.0.0.1", 9), sender.getsockname())
+
+        def peer(name: str, port: int) -> Peers:
+            return Peers(("127.0.0.1", port), peers, None, lambda e: bool(got.append((name, e.data))), 2, True)
+
+        async def tell(data: bytes) -> None:
+            sender.sendto(data, old.sock.getsockname())
+            for _ in range(200):
+                if got and got[-1][1] == data:
+                    return
+                await asyncio.sleep(0.005)
+            raise AssertionError(f"{data!r} was lost")
+
+        old = peer("old", 0)
+        await tell(b"1")
+        new = peer("new", old.sock.getsockname()[1])
+        await tell(b"2")
+        old.close()
+        sender.sendto(b"3", new.sock.getsockname())
+        await asyncio.sleep(0.05)
+        new.close()
+        sender.close()
+        assert got == [("old", b"1"), ("new", b"2"), ("new", b"3")]
+
+    asyncio.run(heard())
+
+
 NAMES = st.text(min_size=1, max_size=20)
 
 
