Give the part of a balancer that is sent away, of slots and cold budgets, to the others

Ruled out: probes (reports under 1 s old), the cap itself (bears what the reports say). Change: a balancer that is sent away tells no clients, so the lagged shares of the others take its part; load that is on its way counts for the budget of cold servers, by those shares. Both parts still add up to one.

--- a/tests/test_hand.py
+++ b/tests/test_hand.py
@@ -8,6 +8,7 @@
 from conftest import SECOND, Harness, settings
 
 from wheatrouter import interface as io
+from wheatrouter.summary import decode, encode
 
 NAMES = [f"s{n}:1" for n in range(5)]
 
@@ -67,6 +68,47 @@
     assert h.sends(h.request())
 
 
+def told(h: Harness) -> tuple:
+    return decode([a.data for _, a in h.log if isinstance(a, io.Tell)][-1])
+
+
+def test_clients_sent_away_count_at_their_new_balancer_only(make) -> None:
+    h = make(names=NAMES, balancers=2)
+    names = [h.request(key=n, load=10) for n in range(20)]
+    for name in names:
+        h.start(name)
+    h.run(6 * SECOND)
+    assert h.b.active == 200 and told(h)[1:3] == (200.0, 20)
+    h.give(io.Going(True))
+    for name in names[:15]:
+        h.end(name, "cancelled", done=True)
+    assert h.b.active == 50  # no session is kept for them
+    h.run(SECOND)
+    assert told(h)[1:3] == (50.0, 0)  # and its part of the free slots is the others'
+    h.give(io.Going(False))
+    h.end(names[15], "cancelled", done=True)
+    assert h.b.active == 50  # now one that was moved off a server comes back here
+    h.run(6 * SECOND)
+    assert told(h)[2] > 0
+
+
+def test_the_slots_and_the_cold_budget_of_one_that_goes_are_the_others(make) -> None:
+    h = make(names=NAMES, balancers=2, cold_us=9 * SECOND, cold_window_us=3 * SECOND)
+    h.run(SECOND)
+    h.start(h.request(key=1, load=10))
+    h.run(5 * SECOND)
+    h.give(listed("changes", NAMES[:1], started_us=h.now))
+
+    def heard(clients: int) -> tuple[float, float]:
+        h.run(SECOND)
+        h.give(io.PeerMessage(1, encode(h.now // 100_000 & 0xFFFF, 2000.0, clients, [])))
+        h.run(SECOND // 2)
+        return h.b.share(), h.b.standing
+
+    assert heard(99) == (0.01, 10)
+    assert heard(0) == (1.0, 2010)
+
+
 @pytest.mark.parametrize("seed", range(25))
 def test_no_order_of_lists_calls_and_time_sends_to_one_that_is_out(seed: int) -> None:
     rng = random.Random(seed)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatrouter import estimates
+from wheatrouter import cold, estimates
 from wheatrouter import interface as io
 
 NAMES = tuple(f"s{n}:1" for n in range(9))
@@ -166,7 +166,7 @@
 def test_cold_servers_take_what_the_cap_refuses_and_no_more_than_their_budgets(seed: int) -> None:
     h = full_with_cold(seed)
     probed(h, 1.3, NAMES[4:])  # worse than the others, and still the only ones that have a budget
-    rooms = sum(max(0.0, h.b.cold_room(s)) for s in h.b.cold)
+    rooms = sum(max(0.0, cold.room(h.b, h.b.set, s)) for s in h.b.cold)
     assert len(h.b.cold) == 5 and 0 < rooms
     names = [h.request(key=n, load=1000, group=n) for n in range(400)]
     h.run(50_000)
--- a/wheatrouter/estimates.py
+++ b/wheatrouter/estimates.py
@@ -52,6 +52,15 @@
     return min(loads) >= STEADY * max(loads)
 
 
+def coming(m: Memory) -> float:
+    """Load at balancers that have no part of the clients: it is sent away from there, or has just come.
+
+    Danger: cold servers' budgets go by what stands at a balancer. One that its clients leave uses none of its
+    part, and one that they come to had none: the cold server stays empty beside full ones.
+    """
+    return sum(p.active for p in m.peers.values() if not p.clients)
+
+
 def follow(m: Memory, warm: Sequence[Server], belief: Callable[[Server], float]) -> tuple[int, float]:
     """When servers were last lost, and the mean load with those in reach now, to whom comes what stood there.
 
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -150,7 +150,7 @@
     def may_take(self, s: Server, load: float) -> bool:
         """The one place that says whether a server may be sent new work now."""
         # Danger: a send after a drain notice breaks the drain; so nothing goes there once it is known.
-        return s.ready and (self.usable(s) or self.none_left) and self.cold_room(s) >= load
+        return s.ready and (self.usable(s) or self.none_left) and cold.room(self, self.set, s) >= load
 
     def usable(self, s: Server) -> bool:
         return self.now >= s.down_until and self.domains.may_use(self.now, s.zone, s.code)
@@ -163,9 +163,6 @@
     def warmth(self, s: Server) -> float:
         return cold.warmth(self.set, s, self.now)
 
-    def cold_room(self, s: Server) -> float:
-        return cold.room(self, self.set, s)
-
     # == server weights (AIMD) and slow start ======================================================
 
     def learn(self, s: Server, load: float) -> None:
@@ -763,6 +760,7 @@
         tier = self.known_active() * self.set.balancers / (1 + len(self.peers))
         self.capacity = tier / max(1, ready) / max(0.1, self.fleet)
         self.standing = sum(f.load for f in self.flows.values() if f.server)
+        self.standing += estimates.coming(self) * (self.share() or 1 / self.set.balancers)
         self.divide_slots()
         self.empty()
         self.relieve()
@@ -794,7 +792,8 @@
     def tell(self) -> None:
         now = self.now // self.bucket_us
         line = [(now - b, load) for b, load in sorted(self.queues().items(), reverse=True)]
-        data = encode(self.now // 100_000 & 0xFFFF, self.active, self.lagged_clients(), line)
+        clients = 0 if self.going else self.lagged_clients()  # its part of the slots is the others' meanwhile
+        data = encode(self.now // 100_000 & 0xFFFF, self.active, clients, line)
         cost = len(data) * (self.set.balancers - 1)
         if self.peer_tokens >= cost:
             self.peer_tokens -= cost
