--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -19,6 +19,9 @@
 from glenrock.admin.listener import MOST, Listener
 from glenrock.config import check
 from glenrock.net.clock import Clock
+from glenrock.net.counts import Counts
+from glenrock.net.errors import End
+from glenrock.net.instance import Entry, Execution, Instances
 from glenrock.net.lines import Splitter
 from glenrock.net.name_table import Answer as DiscoveryAnswer
 
@@ -173,3 +176,31 @@
         assert not answer.whole
         answer.parser.feed_data(text[cut:])
         assert answer.whole and answer.keep and bytes(answer.body) == body
+
+
+async def held(turns: int) -> tuple[End, bytes]:
+    """An execution whose instance is taken out so many turns of the loop after it was queued; what reached it."""
+    got = bytearray()
+
+    async def instance(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        got.extend(await reader.read(100))
+        writer.close()
+
+    server = await asyncio.start_server(instance, "127.0.0.1", 0)
+    instances = Instances(Clock(), 250, lambda e: True, Counts(["look"]))
+    instances.update("full", [Entry("s1", server.sockets[0].getsockname(), "SERVING")])
+    done = asyncio.get_running_loop().create_future()
+    instances.get("s1").mailbox.put(Execution(b"OPEN 1 1 c=look,d=900\r\n", 900, lambda x, end: done.set_result(end)))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    instances.hold("s1", True)
+    instances.update("changes", [Entry("s1", server.sockets[0].getsockname(), "SERVING")])
+    outcome = await asyncio.wait_for(done, 2)
+    await asyncio.sleep(0.02)
+    server.close()
+    return outcome.end, bytes(got)
+
+
+@pytest.mark.parametrize("turns", [0, 1, 2])
+def test_nothing_queued_or_dialled_starts_at_one_that_is_out(turns: int) -> None:
+    assert uvloop.run(held(turns)) == (End.NOT_SENT, b"")
