Keep a client's end that comes in the same turn as its UP, so no relay is left behind

Cause: `Command.settle` took all its mail at once and returned at `UP`. A client's end behind it in the same turn was dropped; the pump that had told it was over, so nobody ever ended the relay: two descriptors and a session at an instance each.

Change: a command takes its mail one by one (`Mailbox.next`); what it has not read stays for its next state. The instance's actor and the decider go on taking all.

--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -148,38 +148,38 @@
     async def settle(self, standing: str | None) -> bool:
         """Until it is up (true) or has had its answer."""
         while True:
-            for mail in await self.mailbox.take():
-                if isinstance(mail, bytes):
-                    self.over = True
-                    await self.finish(mail)
-                    return False
-                if mail is Ended.OVERDUE:
-                    say("overdue", f"{self.opened.id} had no decision in time")
+            mail = await self.mailbox.next()
+            if isinstance(mail, bytes):
+                self.over = True
+                await self.finish(mail)
+                return False
+            if mail is Ended.OVERDUE:
+                say("overdue", f"{self.opened.id} had no decision in time")
+                self.gone()
+                await self.finish(lines.FAILED)
+                return False
+            if isinstance(mail, Ended):
+                if standing is None:
                     self.gone()
+                if mail is Ended.TOO_EARLY:
+                    say("first line", f"{self.opened.id} sent bytes before its answer: failed")
+                    await self.abandon()
+                    await self.finish(lines.FAILED)
+                self.count("left")
+                return False
+            if isinstance(mail, Answered) and mail.execution is self.execution:
+                if mail.outcome.end is End.UP:
+                    self.started(mail.execution, standing)
+                    return True
+                if standing is None:
+                    self.report(mail.outcome.verdict, False, mail.outcome.report)
+                elif self.clock.now() > self.arrived + (
+                        STANDING_MS if self.server.instances.get(standing) else UNKNOWN_MS):
                     await self.finish(lines.FAILED)
                     return False
-                if isinstance(mail, Ended):
-                    if standing is None:
-                        self.gone()
-                    if mail is Ended.TOO_EARLY:
-                        say("first line", f"{self.opened.id} sent bytes before its answer: failed")
-                        await self.abandon()
-                        await self.finish(lines.FAILED)
-                    self.count("left")
-                    return False
-                if isinstance(mail, Answered) and mail.execution is self.execution:
-                    if mail.outcome.end is End.UP:
-                        self.started(mail.execution, standing)
-                        return True
-                    if standing is None:
-                        self.report(mail.outcome.verdict, False, mail.outcome.report)
-                    elif self.clock.now() > self.arrived + (
-                            STANDING_MS if self.server.instances.get(standing) else UNKNOWN_MS):
-                        await self.finish(lines.FAILED)
-                        return False
-                    else:
-                        self.clock.call_at(self.clock.now() + AGAIN_MS, self.launch, standing, STANDING_MS,
-                                           True)
+                else:
+                    self.clock.call_at(self.clock.now() + AGAIN_MS, self.launch, standing, STANDING_MS,
+                                       True)
 
     def started(self, x: Execution, standing: str | None) -> None:
         self.count("fulfilled")
@@ -217,9 +217,8 @@
                 await self.client_end()
 
     async def client_end(self) -> None:
-        while True:
-            if any(m in CLIENT_ENDS for m in await self.mailbox.take()):
-                return
+        while await self.mailbox.next() not in CLIENT_ENDS:
+            pass
 
     # -- the relay -----------------------------------------------------------------------------------
 
@@ -302,20 +301,20 @@
 
     async def relay(self) -> None:
         while True:
-            for mail in await self.mailbox.take():
-                if isinstance(mail, Move):
-                    self.begin_move(mail.verdict)
-                elif isinstance(mail, HandOver):
-                    if await self.hand_over(mail.give):
-                        return
-                elif mail is Ended.OVERDUE and self.moving:
-                    # No line end came. Within a line MOVE would be read as part of it: a reset instead.
-                    whole = self.idle and self.splitter.between
-                    await self.end_with(Ended.BETWEEN_LINES if whole else Ended.INSTANCE_RST)
-                    return
-                elif isinstance(mail, Ended) and mail is not Ended.OVERDUE:
-                    await self.end_with(mail)
+            mail = await self.mailbox.next()
+            if isinstance(mail, Move):
+                self.begin_move(mail.verdict)
+            elif isinstance(mail, HandOver):
+                if await self.hand_over(mail.give):
                     return
+            elif mail is Ended.OVERDUE and self.moving:
+                # No line end came. Within a line MOVE would be read as part of it: a reset instead.
+                whole = self.idle and self.splitter.between
+                await self.end_with(Ended.BETWEEN_LINES if whole else Ended.INSTANCE_RST)
+                return
+            elif isinstance(mail, Ended) and mail is not Ended.OVERDUE:
+                await self.end_with(mail)
+                return
 
     def begin_move(self, verdict: str) -> None:
         if self.moving:
@@ -398,9 +397,8 @@
                     await self.instance_end()
 
     async def instance_end(self) -> None:
-        while True:
-            if any(m in (Ended.INSTANCE_FIN, Ended.INSTANCE_RST) for m in await self.mailbox.take()):
-                return
+        while await self.mailbox.next() not in (Ended.INSTANCE_FIN, Ended.INSTANCE_RST):
+            pass
 
     def tell_end(self, verdict: str) -> None:
         if not self.over:
--- a/glenrock/net/mailbox.py
+++ b/glenrock/net/mailbox.py
@@ -1,4 +1,4 @@
-"""The mailbox of an actor: bounded, emptied whole."""
+"""The mailbox of an actor: bounded; emptied whole, or read one by one."""
 
 from __future__ import annotations
 
@@ -23,11 +23,22 @@
         if self.waiter and not self.waiter.done():
             self.waiter.set_result(None)
 
-    async def take(self) -> list[Any]:
-        """All there is, as soon as there is something (or `wake` was called)."""
+    async def some(self) -> None:
+        """Until there is something (or `wake` was called)."""
         if not self.mail:
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
+
+    async def take(self) -> list[Any]:
+        """All there is, as soon as there is something (or `wake` was called)."""
+        await self.some()
         out = list(self.mail)
         self.mail.clear()
         return out
+
+    async def next(self) -> Any:
+        """The oldest. For an actor whose states read on where the one before stopped: one that took all and acted on
+        a part would lose what came in the same turn."""
+        while not self.mail:
+            await self.some()
+        return self.mail.popleft()
