Bring the load of one that goes or has just come to cold servers once, not twice

Cause: load at balancers that have no part of the clients counted in the cold budgets of the others (`coming`), and still in their own. Ruled out: the budget of a ban's return (each server fell some 5 s after its start, at the drain), and sends to what is out (none). Change: `estimates.brings`: who has a part brings its own and its share of what has none; who has none brings nothing while others have. A property test holds the tier's sum to what stands; it fails on the text before.

--- a/tests/test_hand.py
+++ b/tests/test_hand.py
@@ -6,8 +6,12 @@
 
 import pytest
 from conftest import SECOND, Harness, settings
+from hypothesis import given
+from hypothesis import strategies as st
 
+from wheatrouter import estimates
 from wheatrouter import interface as io
+from wheatrouter.records import Memory, Peer
 from wheatrouter.summary import decode, encode
 
 NAMES = [f"s{n}:1" for n in range(5)]
@@ -29,6 +33,48 @@
     assert sorted({a.id for _, a in h.log if isinstance(a, io.Move)}) == sorted(there)
 
 
+def bring(h: Harness, number: int) -> None:
+    names = [h.request(key=n, load=10) for n in range(number)]
+    h.run(SECOND // 10)  # no probe is answered
+    for name in names:
+        h.start(name)
+
+
+def moved(h: Harness, loads: dict[str, float], rounds: int) -> set[str]:
+    """Who is moved while the servers report these loads."""
+    out = set()
+    for _ in range(rounds):
+        h.give(*(io.ProbeResult(name, "served", 1000, {"load_ratio": x}) for name, x in loads.items()))
+        out |= {a.id for a in h.run(SECOND // 2) if isinstance(a, io.Move)}
+    return out
+
+
+def test_clients_of_one_that_is_out_stay_while_the_rest_is_full(make) -> None:
+    # Found on sockets, hand+drain: moved to servers at 0.7 to 1.1, they and those who stood there were not served.
+    h = make(names=NAMES, may_probe=True, reports=("load_ratio",))
+    bring(h, 60)
+    s, full = h.b.servers[NAMES[0]], {name: 0.75 for name in NAMES}
+    assert s.held and not moved(h, full, 8)
+    h.give(io.ByHand(NAMES[0], True))
+    assert not moved(h, full, 8), "no room there; the target is 0.72"
+    there = set(s.held)
+    few = moved(h, {name: 0.65 for name in NAMES}, 7)
+    assert few and few < there, "a part each round as there is room"
+    assert moved(h, {name: 0.3 for name in NAMES}, 8) | few == there
+
+
+def test_one_that_is_out_and_then_gone_is_left_at_once_however_full_the_rest_is(make) -> None:
+    h = make(names=NAMES, may_probe=True, reports=("load_ratio",))
+    bring(h, 60)
+    full = {name: 0.75 for name in NAMES}
+    moved(h, full, 8)
+    there = set(h.b.servers[NAMES[0]].held)
+    h.give(io.ByHand(NAMES[0], True))
+    assert there and not moved(h, full, 6)
+    h.give(listed("changes", NAMES[:1], state="gone"))
+    assert moved(h, full, 1) >= there
+
+
 def test_one_call_back_ends_it_and_it_is_cold_whatever_the_list_says(make) -> None:
     h = make(names=NAMES)
     h.give(io.ByHand(NAMES[0], True))
@@ -109,6 +155,25 @@
     assert heard(0) == (1.0, 2010)
 
 
+@given(st.lists(st.tuples(st.floats(1, 1e6), st.sampled_from(["has", "has", "goes", "new"]), st.integers(1, 500)),
+                min_size=2, max_size=8))
+def test_what_stands_in_the_tier_is_brought_to_cold_servers_once(tier: list[tuple[float, str, int]]) -> None:
+    # Found in the laboratory, hand-drain: one that went brought its part beside the others, and a server fell over.
+    clients = [n if what == "has" else 0 for _, what, n in tier]
+    brought = 0.0
+    for me, (own, what, n) in enumerate(tier):
+        m = Memory()
+        m.going = what == "goes"
+        m.peers = {k: Peer(0, 0, load, clients[k], []) for k, (load, _, _) in enumerate(tier) if k != me}
+        mine = 0 if what == "new" else n
+        others = sum(c for k, c in enumerate(clients) if k != me)
+        brought += estimates.brings(m, own, mine / (mine + others) if mine else None, len(tier))
+    total = sum(load for load, _, _ in tier)
+    assert brought <= total * 1.001
+    if any(clients):
+        assert brought >= total * 0.999
+
+
 @pytest.mark.parametrize("seed", range(25))
 def test_no_order_of_lists_calls_and_time_sends_to_one_that_is_out(seed: int) -> None:
     rng = random.Random(seed)
--- a/wheatrouter/estimates.py
+++ b/wheatrouter/estimates.py
@@ -8,6 +8,7 @@
 
 CAN_GAIN, USUAL_GAIN = 0.4, 0.04  # per round, of what a server is seen to do: now, and usually
 USUAL_LEAST = 0.15  # of what the servers usually do, on average
+MEAN_GAIN = 0.02  # of a load told, in the mean load of a connection; a plain mean of the first ones
 FEW = 5  # connections of ours at a server that say something of what it can do
 GUESS = 1.0  # the mean load is guessed no higher than this when servers are lost
 STEADY = 0.67  # of the most that this balancer carried lately: no less, and its part of the tier is steady
@@ -23,6 +24,7 @@
     the load it bears here, over its capacity in use.
     """
     ours, even = min(1.0, max(0.05, m.active / max(1.0, active))), steady(m)
+    gain = usual_gain(m, ours)
     for s, load in seen:
         held = sum(f.load for f in s.held.values())
         # Danger: with a connection or two of the hundred that stand there its capacity comes out anyhow;
@@ -30,7 +32,7 @@
         if even and load > 0.1 and held > 2 * m.mean_load and len(s.held) >= FEW:
             can = held / ours / load
             s.can += (can - s.can) * CAN_GAIN if s.can else can
-            s.usual += (can - s.usual) * USUAL_GAIN if s.usual else can
+            s.usual += (can - s.usual) * gain if s.usual else can
     usual = [s.usual for s, _ in seen if s.usual]
     for s, _ in seen:
         # Danger: one that was slow when it was first seen has no better past. So its usual is never held
@@ -52,13 +54,54 @@
     return min(loads) >= STEADY * max(loads)
 
 
-def coming(m: Memory) -> float:
-    """Load at balancers that have no part of the clients: it is sent away from there, or has just come.
+def usual_gain(m: Memory, ours: float) -> float:
+    """Per round, of what servers usually do; forgotten once this balancer's part of the tier is another.
 
-    Danger: cold servers' budgets go by what stands at a balancer. One that its clients leave uses none of its
-    part, and one that they come to had none: the cold server stays empty beside full ones.
+    Danger: what a server can do comes out in proportion to that part's error. With another balancer's clients
+    here all servers seem to do less than before, count as slow, and are emptied when they are needed most.
+    Danger: after a start, reports tell of the time before, when little stood there: a usual learned from them
+    is twice what there is, and any later load looks like a server that has become slow.
     """
-    return sum(p.active for p in m.peers.values() if not p.clients)
+    if not STEADY * m.basis <= ours <= m.basis / STEADY:
+        m.basis, m.basis_at = ours, m.now
+        for s in m.servers.values():
+            s.can = s.usual = 0.0
+            s.part = 1.0
+    m.basis += (ours - m.basis) * USUAL_GAIN
+    return USUAL_GAIN if m.now - m.basis_at >= STEADY_US else CAN_GAIN
+
+
+def count(m: Memory, service: str, load: float) -> None:
+    """A connection's load, as a hint, a note or another process tells it.
+
+    Danger: the first alone is no mean. A balancer with few clients that first heard of a heavy one counted
+    each newcomer as ten for the rest of the day, and refused clients while the servers were half empty.
+    """
+    for name in ("", service):
+        mean, told = m.means.get(name, (0.0, 0))
+        m.means[name] = mean + (load - mean) * max(MEAN_GAIN, 1 / (told + 1)), told + 1
+    m.mean_load = m.means[""][0]
+
+
+def load_of(m: Memory, service: str) -> float:
+    """What a newcomer of that class counts as: its class's mean, or that of all while none has told its load."""
+    return m.means.get(service, (0.0, 0))[0] or m.mean_load or 1.0
+
+
+def brings(m: Memory, own: float, share: float | None, balancers: int) -> float:
+    """The load by which this balancer's budgets of cold servers go, of `own` that stands here.
+
+    Danger: one that its clients leave uses none of its part, and one that they come to had none: a cold server
+    stays empty beside full ones. So load at balancers that have no part of the clients, sent away from there or
+    just come, counts by parts at those that have.
+    Danger: counted there too it is brought twice, and a cold server is pushed over.
+    """
+    if not m.peers:
+        return 0.0 if m.going else own
+    pool = sum(p.active for p in m.peers.values() if not p.clients)
+    if share is not None and not m.going:
+        return own + pool * share
+    return 0.0 if any(p.clients for p in m.peers.values()) else (own + pool) / balancers
 
 
 def follow(m: Memory, warm: Sequence[Server], belief: Callable[[Server], float]) -> tuple[int, float]:
--- a/wheatrouter/hand.py
+++ b/wheatrouter/hand.py
@@ -40,6 +40,24 @@
     def allows(self, server: str) -> bool:
         return server not in self.out
 
+    def leaving(self, m: Memory, s: Server, most: int, target: float) -> list[str]:
+        """Who is moved off a server this round, of so many at most. Off one that is out by hand and still
+        listed goes no more load than brings the rest to the target, in proportion to what is ours there.
+
+        Danger: who stands at a server that is out is still served there. Moved to servers that are full they
+        are not, nor are those who stood at these.
+        """
+        room = float("inf")
+        if s.listed and not self.allows(s.id):
+            rest = sum(f.load for x in m.servers.values() if x.ready for f in x.held.values())
+            room = rest * (target / max(0.1, m.fleet) - 1) if rest else room
+        out = []
+        for id_, f in list(s.held.items())[:most]:
+            if room > 0:
+                out.append(id_)
+            room -= f.load
+        return out
+
     def started(self, server: str, told: int) -> int:
         """The time from which a server counts as cold, where the list tells `told`."""
         return max(told, self.back.get(server, 0))
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -115,8 +115,9 @@
         self.shed: dict[str, None] = {}  # moved off without their session
         self.next_ref = 1
         self.active = 0.0  # load of this balancer's sessions
-        self.standing = 0.0  # of these, load of connections that stand
-        self.mean_load = 0.0
+        self.standing = 0.0  # load by which the budgets of cold servers go
+        self.mean_load = 0.0  # of a connection; 0: none has told its load
+        self.means: dict[str, tuple[float, int]] = {}  # by class: the mean, and loads in it; "": of all
         self.cap = float("inf")  # starts high: nothing is known against it
         self.cold: list[Server] = []  # servers in reach that started lately, as of the last round
         self.cold_cap = 0.0  # active load beside it, for servers still cold
@@ -142,6 +143,7 @@
         self.younger, self.kept_out = 0, False  # buckets past the partial one that pass too
         self.history: list[tuple[int, int, float]] = []  # time, clients seen here, actives known
         self.carried: list[tuple[int, float]] = []  # times and loads of this balancer's sessions, lately
+        self.basis, self.basis_at = 0.0, 0  # its part of the tier, and since when: `usual` goes by it
         self.told_at = 0
         self.going = False  # all clients here are sent away
         self.ask_at = 0
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -37,7 +37,7 @@
 NOTE_US = 3 * S // 2  # such word comes once a second
 LEAVE_US = 2 * S  # clients of a server that drains are told to move over this time, before it cuts them off
 MOVE_AT = 1.0  # above this a server serves hardly any message in time, so open connections are moved
-SAMPLE = 12  # servers known that make the fleet's mean
+SAMPLE = 12  # servers known that make the fleet's mean; all of them, where there are fewer
 # -- AIMD ------------------------------------------------------------------------------------------
 CAP_CUT, CAP_RISE = 0.85, 0.25  # per feedback delay; per round, of the room that reports show
 WEIGHT_CUT, WEIGHT_RISE, WEIGHT_MIN, WEIGHT_MAX = 0.7, 0.05, 0.05, 3.0
@@ -244,7 +244,7 @@
         if e.load is not None and e.load >= 0:
             # Danger: where requests carry no hint, the mean is learned here or not at all; each newcomer
             # would count as nothing, and a mass return would be heaped on the servers that were probed last.
-            self.mean_load += (e.load - self.mean_load) * (0.02 if self.mean_load > 1 else 1)
+            estimates.count(self, f.event.service, e.load)
             session = self.sessions.get(f.key)
             if session:
                 self.active += e.load - f.load
@@ -275,7 +275,7 @@
         seen = [(s, min(3.0, self.belief(s))) for s in warm
                 if s.load_at > since or s.held and self.set.tells_delay]
         if seen:
-            gain = min(1.0, len(seen) / SAMPLE)
+            gain = min(1.0, len(seen) / min(SAMPLE, len(warm)))
             self.fleet += (estimates.mean(self, seen, self.known_active()) - self.fleet) * gain
         active = self.known_active()
         # Danger: one server that falls over drops all it held within a round. That is its own trouble: only
@@ -423,8 +423,9 @@
 
     def flow_of(self, e: io.Request) -> Flow:
         kind = self.classes.get(e.service) or self.set.classes[0]
-        load = float(e.load) if e.load > 0 else self.mean_load or 1.0
-        self.mean_load += (load - self.mean_load) * (0.02 if self.mean_load else 1)
+        load = float(e.load) if e.load > 0 else estimates.load_of(self, e.service)
+        if e.load > 0:
+            estimates.count(self, e.service, load)
         return Flow(e, kind, e.id if e.key is None else e.key, load, self.now)
 
     def on_open(self, e: io.OpenConnection) -> None:
@@ -643,6 +644,7 @@
 
     def on_going(self, e: io.Going) -> None:
         self.going, self.told_at = e.on, self.now
+        self.standing *= not e.on  # the others bring it to cold servers, as soon as they hear of it
 
     def on_gone(self, e: io.ClientGone) -> None:
         if f := self.flows.get(e.id):
@@ -653,11 +655,9 @@
     def empty(self) -> None:
         """Clients leave a draining server before it does, a part each round: all at once would be a mass
         return, and each move has its price. Their sessions stand, so they come in again as they are."""
-        for s in self.servers.values():
-            if s.leaves_by and s.held:
-                rounds = max(1, (s.leaves_by - self.now) // ROUND_US)
-                for id_ in list(s.held)[:-(-len(s.held) // rounds)]:
-                    self.out.append(io.Move(id_))
+        for s in (x for x in self.servers.values() if x.leaves_by and x.held):
+            part = -(-len(s.held) // max(1, (s.leaves_by - self.now) // ROUND_US))
+            self.out += [io.Move(id_) for id_ in self.hand.leaving(self, s, part, TARGET)]
 
     def relieve(self) -> None:
         """Above capacity a server serves nobody in time. Each balancer takes its part of the excess away."""
@@ -759,8 +759,8 @@
         # Danger: shares are uneven, most while one balancer drains; by its own a server looks full at once.
         tier = self.known_active() * self.set.balancers / (1 + len(self.peers))
         self.capacity = tier / max(1, ready) / max(0.1, self.fleet)
-        self.standing = sum(f.load for f in self.flows.values() if f.server)
-        self.standing += estimates.coming(self) * (self.share() or 1 / self.set.balancers)
+        own = sum(f.load for f in self.flows.values() if f.server)
+        self.standing = estimates.brings(self, own, self.share(), self.set.balancers)
         self.divide_slots()
         self.empty()
         self.relieve()
