--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -62,6 +62,8 @@
         self.habits = Habits(e.clients, streams)
         self.setup_draw = streams.exponentials("set-up work")
         self.noise = streams.normals("report noise")
+        self.errs: dict[str, float] = {}  # instances that answer ERR to set-ups, and the chance of it
+        self.err_draw = streams.uniforms("errors")
         self.answer_grace_us = round(e.rules.answer_grace_ms * 1000)
         self.drain_grace_us = round(e.rules.drain_grace_ms * 1000)
         self.max_attempts = e.platform.max_attempts
--- a/glenrock/lab/day_attempts.py
+++ b/glenrock/lab/day_attempts.py
@@ -53,6 +53,9 @@
     def instance_says(self: Day, a: Attempt, what: str) -> None:
         """An instance has something to say of an attempt: it goes back to the balancer, unless a link is cut."""
         way = self.links.way(a.flow.host.zone, a.instance.shape.zone)
+        if what == "up" and a.instance.name in self.errs and self.err_draw() < self.errs[a.instance.name]:
+            what = "error"
+            self.give_up(a)  # it keeps nothing of it
         self.engine.at(self.engine.now + way, self.back, a, what)
 
     def back(self: Day, a: Attempt, what: str) -> None:
--- a/glenrock/lab/faults.py
+++ b/glenrock/lab/faults.py
@@ -77,6 +77,18 @@
     day.engine.at(day.engine.now + us(f.for_s), unslow, day, [(i, i.life) for i in struck])
 
 
+def errs(day: Day, f: spec.Errs, draw: np.random.Generator) -> None:
+    struck = some(draw, [i for i in day.instances.values() if i.up], float(f.part))
+    for instance in struck:
+        day.errs[instance.name] = float(f.chance)
+    day.engine.at(day.engine.now + us(f.for_s), well_again, day, [i.name for i in struck])
+
+
+def well_again(day: Day, struck: list[str]) -> None:
+    for name in struck:
+        day.errs.pop(name, None)
+
+
 def unslow(day: Day, struck: list[tuple[Instance, int]]) -> None:
     for instance, life in struck:
         if instance.life == life:
@@ -144,7 +156,7 @@
     spec.Crash: crash, spec.ZoneCut: zone_cut, spec.BalancerRoll: balancer_roll, spec.Reconnect: reconnect,
     spec.Slow: slow, spec.DiscoverySilence: discovery_silence, spec.StaleList: stale_list,
     spec.FlashCrowd: arrivals, spec.TenantFlood: arrivals, spec.Drains: drains, spec.PeerLoss: peer_loss,
-    spec.ByHand: by_hand, spec.SendAway: send_away}
+    spec.Errs: errs, spec.ByHand: by_hand, spec.SendAway: send_away}
 
 
 def lasts_s(f: spec.Fault) -> float:
--- a/tests/lab/days.py
+++ b/tests/lab/days.py
@@ -9,6 +9,7 @@
 from glenrock.lab import spec
 from glenrock.lab.day import Day
 from glenrock.lab.model.balancer import PolicyFailed
+from glenrock.toml_file import BadFile
 from wheatrouter import interface as io
 
 SMALL: dict[str, Any] = {
@@ -63,4 +64,4 @@
         return [io.Send(e.id, self.first(), e.deadline_us - self.now - 10_000)]
 
 
-__all__ = ["Day", "PATH", "PolicyFailed", "Scripted", "SMALL", "day", "experiment"]
+__all__ = ["BadFile", "Day", "PATH", "PolicyFailed", "Scripted", "SMALL", "day", "experiment"]
--- a/tests/lab/test_by_hand.py
+++ b/tests/lab/test_by_hand.py
@@ -1,4 +1,4 @@
-"""Bans and drains by hand in the laboratory: what they do, and that a send to what is out is seen."""
+"""Bans and drains by hand in the laboratory, and instances whose set-ups fail: what they do, and what is a breach."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from wheatrouter import interface as io
 
-from .days import Scripted, day
+from .days import BadFile, Scripted, day, experiment
 
 OUT = {"kind": "by_hand", "at_s": 2.0, "for_s": 6.0, "restart_s": 3.0, "down_s": 1.0}
 
@@ -62,3 +62,19 @@
     day(make=Ear, faults=[OUT, {"kind": "send_away", "at_s": 2.0}]).run()
     assert [e.out for e in seen if isinstance(e, io.ByHand)] == [True, True, False, False]
     assert [e.on for e in seen if isinstance(e, io.Going)] == [True, False]
+
+
+def test_set_ups_fail_for_a_while_with_the_chance_that_is_given() -> None:
+    def errors(chance: float) -> tuple[int, int]:
+        d = day(make=Scripted, faults=[{"kind": "errs", "at_s": 2.0, "for_s": 4.0, "part": 1.0, "chance": chance}])
+        d.run()
+        failed = sum(h.ends.get("failed", 0) for h in d.hosts)
+        return failed, sum(h.ends.get("up", 0) for h in d.hosts)
+
+    never, half, always = errors(0.0), errors(0.5), errors(1.0)
+    assert never[0] < half[0] < always[0] and always[1] > 0, "outside of these four seconds they stand"
+
+
+def test_a_drain_names_a_balancer_that_each_day_has() -> None:
+    with pytest.raises(BadFile, match=r"faults\[0\].balancer: there is no such balancer"):
+        experiment(fleet={"balancers": [1, 3]}, faults=[{"kind": "send_away", "at_s": 2.0, "balancer": 1}])
