Bring clients to servers that come back all at once, by what stood before

Need: with all session servers out by hand and called back, or all restarted, each counts as cold and nothing stands anywhere; the budgets of cold servers go by what stands, so clients were refused until the first was warm (9 s here). Ruled out: a fixed first connection for each (it says nothing of what a server can take), and growth from the first ones that stand (a budget is under a half of what stands, so it never gets there). Change: while no server is warm the budgets go by what stood when some were; who is sent away still brings nothing.

The new test had 0 clients placed in 2.5 s before, and now has 10 or more within the budgets.

--- a/tests/test_hand.py
+++ b/tests/test_hand.py
@@ -75,6 +75,34 @@
     assert moved(h, full, 1) >= there
 
 
+def test_all_out_and_back_take_clients_while_they_warm_up_within_their_budgets(make) -> None:
+    # Each counts as cold and nothing stands: clients were refused for all of the nine seconds.
+    h = make(names=NAMES, balancers=1, cold_us=9 * SECOND, cold_share=0.31, cold_multiple=3.0,
+             cold_window_us=3 * SECOND)
+    bring(h, 100)
+    h.run(6 * SECOND)
+    stood = h.b.standing
+    assert stood == 1000
+    h.give(*(io.ByHand(name, True) for name in NAMES))
+    h.run(SECOND)
+    for name in [f for f in h.b.flows]:
+        h.end(name, "broken", done=True)
+    h.run(4 * SECOND)
+    refused = h.request(key=500, load=10)
+    assert any(isinstance(a, io.Refuse) for a in h.done(refused)), "with all out there is nowhere to go"
+    h.give(*(io.ByHand(name, False) for name in NAMES))
+    sent = 0
+    for n in range(100):
+        name = h.request(key=n, load=10)
+        if h.sends(name):
+            h.start(name)
+            sent += 1
+        h.run(25_000)
+    share = h.b.warmth(h.b.servers[NAMES[0]])
+    assert 10 <= sent <= 0.45 * 3 * 3 / 9 * share * 100 / h.b.fleet + len(NAMES)
+    assert h.b.standing == stood
+
+
 def test_one_call_back_ends_it_and_it_is_cold_whatever_the_list_says(make) -> None:
     h = make(names=NAMES)
     h.give(io.ByHand(NAMES[0], True))
--- a/wheatrouter/estimates.py
+++ b/wheatrouter/estimates.py
@@ -95,7 +95,11 @@
     server stays empty beside full ones. So load at balancers that have no part of the clients, sent away from
     there or just come, counts by parts at those that have.
     Danger: counted there too it is brought twice, and a cold server is pushed over.
+    Danger: where all servers were out or have died nothing stands, nothing is brought, and clients are
+    refused until the first one is warm. So while none is warm it goes by what stood when some were.
     """
+    if m.all_cold and not m.going:
+        return m.standing
     if not m.peers:
         return 0.0 if m.going else own
     pool = sum(p.active for p in m.peers.values() if not p.clients)
@@ -121,5 +125,5 @@
             lost_at = m.now
         fleet = min(guess, max(fleet, GUESS))
     m.reach = here or m.reach
-    m.warm = len(warm) or m.warm
+    m.warm, m.all_cold = len(warm) or m.warm, not warm
     return lost_at, fleet
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -125,6 +125,7 @@
         self.none_left = False  # each server that is ready is out of use for a while
         self.fleet = 0.5  # mean load over servers lately probed
         self.warm = 0  # servers in reach past their warm-up, when there were any
+        self.all_cold = False  # there are none now
         self.reach: set[str] = set()  # which
         self.lost_at = LONG_AGO  # some of them left then
         self.capacity = 0.0  # of one server, in load; 0: not known
