--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -31,7 +31,7 @@
     if reset:
         client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
     client.close()
-    async with asyncio.timeout(0.6):  # well under the second after which an end that nobody passes on is forced
+    async with asyncio.timeout(5):  # an end that is lost is never made up for
         with contextlib.suppress(ConnectionResetError):  # an end comes in kind
             while await loop.sock_recv(at, 100):
                 pass
@@ -64,10 +64,10 @@
         waiting.append(sock)
     await asyncio.sleep(0.05)
     site.program.server.instances.get("s1").entry.address = full.getsockname()
-    site.program.server.instances.dial_ms = site.program.server.instances.get("s1").dial_ms = 5000.0
+    site.program.server.instances.dial_ms = site.program.server.instances.get("s1").dial_ms = 9000.0
     descriptors = len(os.listdir("/proc/self/fd"))
     client = socket.create_connection(("127.0.0.1", site.port))
-    client.sendall(b"OPEN wait-1 1 c=look,d=1000\r\n")
+    client.sendall(b"OPEN wait-1 1 c=look,d=5000\r\n")
     while not (site.commands and site.commands["wait-1"].execution and site.commands["wait-1"].execution.sock):
         await asyncio.sleep(0)
     await asyncio.sleep(0.05)
@@ -87,4 +87,4 @@
 
 def test_a_client_that_leaves_during_a_dial_takes_the_dial_with_it() -> None:
     took, counts = uvloop.run(while_dialling())
-    assert took < 0.5 and counts == {"left": 1}, "the dial alone would have gone on for a second"
+    assert took < 2 and counts == {"left": 1}, "the dial alone would have gone on for five seconds"
