Take a balancer from the laboratory's front in one place

Need: three places removed it from the list of its zone, each with its own check; `Front.leave`, written for drains by hand, does it for a dead one and for a planned end too. Behaviour is the same; the laboratory's tests of faults, rules and hard cases pass.

--- a/glenrock/lab/day_processes.py
+++ b/glenrock/lab/day_processes.py
@@ -103,8 +103,7 @@
         for n, f in enumerate(held):
             self.engine.at(self.engine.now + over_us * 9 // 10 * n // len(held), self.moved, f)
         self.engine.at(self.engine.now + over_us * 19 // 20, self.move_rest, host, host.life)
-        if host in self.front.known[host.zone]:
-            self.front.known[host.zone].remove(host)
+        self.front.leave(host)
 
     def move_rest(self: Day, host: Host, life: int) -> None:
         if host.life == life:
--- a/glenrock/lab/model/front.py
+++ b/glenrock/lab/model/front.py
@@ -25,11 +25,11 @@
         self.engine.at(self.engine.now + self.notice, self.drop, host, host.life)
 
     def drop(self, host: Host, life: int) -> None:
-        if host.life == life and not host.up and host in self.known[host.zone]:
-            self.known[host.zone].remove(host)
+        if host.life == life and not host.up:
+            self.leave(host)
 
     def leave(self, host: Host) -> None:
-        """It has said that it takes no clients."""
+        """It has said that it takes no clients, or is found to be dead."""
         if host in self.known[host.zone]:
             self.known[host.zone].remove(host)
 
