Tell a server's load by late messages and timed-out probes, set-ups by a window

Lines at fault: Balancer.on_probe (timeouts as distance, down_until kept after an answer), belief and relieve (reports without what left since), setups.learn.

--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,125 @@
+"""What is believed of a server's load: late messages, probes that time out, and what came or left since a report."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import SECOND
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wheatrouter import beliefs
+from wheatrouter import interface as io
+from wheatrouter.records import Memory, Server
+
+
+def told(make, count: int = 20):
+    """A server with connections of ours that tells of late messages and may be probed."""
+    h = make(names=("a:1", "b:1"), may_probe=True, reports=("load_ratio",), tells_delay=True, balancers=1)
+    names = [h.request(key=n, load=10) for n in range(count)]
+    h.run(SECOND // 10)
+    for name in names:
+        h.start(name)
+    s = h.b.servers["a:1"]
+    return h, s, next(iter(s.held))
+
+
+def late(h, id_: str, waits_ms: list[int]) -> None:
+    """Word of slow messages, a second apart; probes stay unanswered, as they do at a full server."""
+    for n, ms in enumerate(waits_ms):
+        if n:
+            h.run(SECOND)
+        h.give(io.ServerNote(id_, "a:1", None, ms * 1000.0))
+
+
+@pytest.mark.parametrize("waits, load", [
+    ([500], 1.5 + 0.25),  # the first word: what is piled up came within a second
+    ([500, 1000], 1.5 + 0.5),  # grows by half a second a second, and one is piled up
+    ([1000, 500], 0.5 + 0.25),  # works it off: half of its capacity is asked for
+    ([1000, 60], beliefs.LEAST + 0.03),
+    ([100, 9000], beliefs.MOST + 4.5)])
+def test_the_load_of_a_late_server_is_how_fast_its_wait_grows(make, waits, load) -> None:
+    # Seen on a day on which all slow down at once: by reports of the time before all were emptied twice.
+    h, s, id_ = told(make)
+    h.b.learn(s, 0.5)
+    late(h, id_, waits)
+    assert h.b.belief(s) == pytest.approx(load, abs=0.01)
+
+
+def test_what_left_since_the_words_is_not_sent_away_again(make) -> None:
+    h, s, id_ = told(make)
+    late(h, id_, [500, 1000])
+    before = h.b.belief(s)
+    for name in list(s.held)[1:len(s.held) // 2 + 1]:
+        h.end(name, "cancelled", done=True)
+    piled = 1.0 * SECOND / beliefs.FEEDBACK_US
+    assert h.b.belief(s) - piled == pytest.approx((before - piled) * 0.5, rel=0.15)
+
+
+def test_what_left_since_a_report_is_not_sent_away_again(make) -> None:
+    h, s, _ = told(make)
+    h.run(3 * SECOND)
+    h.b.learn(s, 1.4)
+    assert beliefs.left(h.b, s) == 1.0
+    there = list(s.held)
+    for name in there[:len(there) // 2]:
+        h.end(name, "cancelled", done=True)
+    assert beliefs.left(h.b, s) == pytest.approx(1 - len(there) // 2 / len(there))
+
+
+def test_a_probe_that_times_out_at_a_late_server_tells_of_load(make) -> None:
+    # In the laboratory, all slow at once: full servers counted as out of reach for half a minute, the fleet's load
+    # came from the two that answered, and half of the clients stayed outside (one-room-slow 0.60, 0.68 with this).
+    h, s, id_ = told(make)
+    h.b.learn(s, 0.5)
+    late(h, id_, [400])
+    for _ in range(3):
+        h.give(io.ProbeResult("a:1", "timeout"))
+    assert not s.failures and h.b.usable(s) and s.load >= beliefs.LATE
+    h.run(3 * SECOND)  # it says nothing at all now
+    for _ in range(3):
+        h.give(io.ProbeResult("a:1", "timeout"))
+    assert s.failures and not h.b.usable(s)
+
+
+def test_an_answered_probe_takes_a_server_back_at_once(make) -> None:
+    h, s, _ = told(make)
+    for _ in range(6):
+        h.give(io.ProbeResult("a:1", "no_connection"))
+    assert not h.b.usable(s)
+    h.give(io.ProbeResult("a:1", "served", 1000, {"load_ratio": 0.2}))
+    assert h.b.usable(s)
+
+
+def test_what_was_just_sent_counts_beside_a_report_that_cannot_show_it(make) -> None:
+    h, _, _ = told(make)
+    h.run(3 * SECOND)
+    name = h.request(key=99, load=100)
+    h.run(SECOND // 10)  # no probe is answered
+    sent = h.b.servers[h.sends(name)[0].server]
+    for later, load, seen in ((0, 0.3, 0.4), (2 * SECOND, 0.4, 0.4)):
+        h.now += later
+        h.give()
+        h.b.learn(sent, load)
+        h.b.capacity, sent.probe_at, sent.part = 1000.0, -1, 1.0
+        assert h.b.estimate(sent) == pytest.approx(seen)
+
+
+def test_servers_with_connections_from_before_are_asked_at_once(make) -> None:
+    h = make(names=("a:1", "b:1"), may_probe=True, reports=("load_ratio",), tells_delay=True)
+    for n in range(12):
+        h.give(io.OpenConnection(io.Request(f"o{n}", "read", 0, n), "a:1"))
+    h.run(SECOND)
+    assert "a:1" in {a.server for _, a in h.log if isinstance(a, io.Probe)}
+
+
+@given(st.lists(st.tuples(st.integers(0, 4_000_000), st.floats(0, 5e6)), min_size=1, max_size=20))
+def test_whatever_words_come_the_belief_is_bounded_and_grows_with_the_wait(words) -> None:
+    m, s = Memory(), Server("a", "", 0, 1)
+    for gap, wait in words:
+        m.now += gap
+        beliefs.noted(m, s, wait, 60_000)
+    low = beliefs.from_waits(s)
+    at, wait, held = s.notes[-1]
+    assert 0 < low <= beliefs.MOST + wait
+    s.notes[-1] = (at, wait + 0.5, held)
+    assert beliefs.from_waits(s) > low
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -8,7 +8,9 @@
 from . import interface as io
 from .ring import Ring
 
+S = 1_000_000  # microseconds in a second
 LONG_AGO = -(1 << 40)
+NOTES_APART_US = 500_000  # words of slow messages nearer than this say nothing of how a wait grows
 NEVER = 1 << 62  # a bucket past all others: buckets may be negative on a young clock
 
 
@@ -29,7 +31,11 @@
     weight: float = 1.0
     load: float = -1.0  # part of capacity in use as last learned; below 0: not known
     load_at: int = LONG_AGO
-    placed: float = 0.0  # load sent there since
+    placed: float = 0.0  # load sent there that no report can show yet
+    sends: list[tuple[int, float]] = field(default_factory=list)  # when, and the load, since that time
+    past: list[tuple[int, float]] = field(default_factory=list)  # when, and our load that stood there
+    then: float = 0.0  # our load there at the time of which the last report tells
+    notes: list[tuple[int, float, float]] = field(default_factory=list)  # when, a wait in s, our load there
     cut_at: int = LONG_AGO
     down_until: int = 0
     failures: int = 0
@@ -121,7 +127,6 @@
         self.cold: list[Server] = []  # servers in reach that started lately, as of the last round
         self.cold_cap = 0.0  # active load beside it, for servers still cold
         self.cap_cut_at = LONG_AGO
-        self.late_load = 0.0  # load lately found at servers whose messages were late
         self.none_left = False  # each server that is ready is out of use for a while
         self.fleet = 0.5  # mean load over servers lately probed
         self.warm = 0  # servers in reach past their warm-up, when there were any
@@ -131,10 +136,13 @@
         self.capacity = 0.0  # of one server, in load; 0: not known
         self.turned = self.tried = 0  # attempts of this round
         self.turned_at: set[str] = set()
-        self.ill = self.well = self.arrivals = 0  # set-ups that failed, or stood; clients that came anew
+        self.setup_aim_us = S  # shortest time wanted for a set-up
+        self.opening = self.peak = 0  # set-ups out now, and most of them in this round
+        self.ill = self.well = self.came_up = 0  # set-ups of this round: failed or slow, in time, all up
         self.ill_at: set[str] = set()
-        self.rate = self.setups = float("inf")  # set-ups a second, and those left now
-        self.usual = 0.0  # new clients a second
+        self.window = float("inf")  # set-ups out at a time
+        self.window_at, self.idle = LONG_AGO, 0  # last cut; rounds in which it did not bind
+        self.best = 0.0  # set-ups a second that came up, the most lately
         self.open_until = -NEVER  # buckets up to this one pass
         self.partial = NEVER  # this one in part
         self.part = 0.0  # load that it, or newcomers if there is none, may still bring this round
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -8,8 +8,9 @@
 
 import random
 
-from . import cold, estimates, setups
+from . import beliefs, cold, estimates, setups
 from . import interface as io
+from .beliefs import FEEDBACK_US, FRESH_US, LATE, QUIET, belief
 from .hand import Hand, restart
 from .records import NEVER, Attempt, Flow, Memory, Peer, Server, Session, Waiter, code_of
 from .recovery.domains import Domains
@@ -19,10 +20,7 @@
 S = 1_000_000  # microseconds in a second
 # -- periods ---------------------------------------------------------------------------------------
 ROUND_US = S // 2  # the cap, the slots and the summaries are worked out this often
-FEEDBACK_US = 2 * S  # one cut per feedback delay: load reports may be refreshed and delivered this late
 CALM_US = 5 * S  # summaries come this often while there is room, each second when there is none
-FRESH_US = 1 * S  # a load report counts as the present this long
-KNOWN_US = 10 * S  # and is better than the fleet's mean this long
 LAG_US = 4 * S  # shares are read this far back: every summary in between has arrived or is lost
 PROBE_WAIT_US = 40_000  # a request waits this long for the probes of its candidates: small beside any aim
 # -- load, as a part of capacity -------------------------------------------------------------------
@@ -31,10 +29,7 @@
 RELIEF = 0.65  # when connections have to go they go down to this, so that the work piled up drains
 LONE = 0.5  # or to this where the others have room: what makes one server slow often makes it slower yet
 SLOW, LEFT = 0.6, 0.3  # with no more than this part of its usual capacity one is slow; it is emptied to this
-BUSY, LATE = 0.82, 1.1  # what slow messages say of a server; messages past their aim, before any was asked
-QUIET = 0.58  # what silence says where there are no reports: room enough for the cap to rise
 DRAIN_US = 6 * S  # work piled up at a server takes this long to go
-NOTE_US = 3 * S // 2  # such word comes once a second
 LEAVE_US = 2 * S  # clients of a server that drains are told to move over this time, before it cuts them off
 MOVE_AT = 1.0  # above this a server serves hardly any message in time, so open connections are moved
 SAMPLE = 12  # servers known that make the fleet's mean; all of them, where there are fewer
@@ -57,7 +52,6 @@
         super().__init__()
         self.set = s = settings
         self.classes = {c.name: c for c in s.classes}
-        self.late_load = LATE
         self.domains, self.hand = Domains(), Hand()  # links to other zones; servers out by hand
         self.rng = random.Random(seed)
         self.salt = self.rng.getrandbits(64)
@@ -67,7 +61,8 @@
         self.lapse_us = 4 * self.bucket_us
         self.margin_us = 2 * s.tick_us  # an answer leaves this long before the client's time is up
         self.aim_us = min((c.message_aim_us for c in s.classes if c.message_aim_us), default=0)
-        self.reported = s.may_probe and (io.LOAD_RATIO in s.reports or io.UTILIZATION in s.reports)
+        self.reported = beliefs.reports(s)
+        self.setup_aim_us = min(c.aim_us for c in s.classes)
         self.handlers = {
             io.ServerList: self.on_list, io.Request: self.on_request, io.OpenConnection: self.on_open,
             io.Started: self.on_started, io.ServerNote: self.on_note, io.AttemptEnded: self.on_ended,
@@ -166,9 +161,7 @@
     # == server weights (AIMD) and slow start ======================================================
 
     def learn(self, s: Server, load: float) -> None:
-        s.load, s.load_at, s.placed = load, self.now, 0.0
-        if self.now - s.late_at < NOTE_US:
-            self.late_load += (max(LATE, load) - self.late_load) / 4
+        beliefs.reported(self, s, load)
         # Relative to the fleet: when all are slow alike, weights say nothing and the cap has to fall.
         if load > max(HIGH, 1.2 * self.fleet):
             self.cut(s)
@@ -181,18 +174,7 @@
             self.learn(s, load)
 
     def belief(self, s: Server) -> float:
-        """The load of a server as far as known now: the last report, corrected by what its messages tell."""
-        age = self.now - s.load_at
-        load = s.load if s.load >= 0 and age < KNOWN_US else min(self.fleet, 1.0)
-        if age < FRESH_US and s.late_at <= s.load_at:
-            return load
-        if self.now - s.late_at < NOTE_US:
-            return max(load, self.late_load)
-        if self.now - s.noted_at < NOTE_US:
-            return max(load, BUSY)
-        # Danger: only servers in trouble are asked again, and their old reports would hold the cap down.
-        # One that holds our connections and sends no word of slow messages is not busy.
-        return min(load, BUSY if self.reported else QUIET) if s.held and self.set.tells_delay else load
+        return belief(self, self.set, s)
 
     def cut(self, s: Server) -> None:
         if self.now - s.cut_at >= FEEDBACK_US:
@@ -227,9 +209,13 @@
             return
         s.probe_at = -1
         if e.verdict == "served":
-            s.failures = 0
+            s.failures = s.down_until = 0
             self.reached(s, True)
             self.learn_report(s, e.report)
+        elif e.verdict == "timeout" and beliefs.alive(self, s):
+            # Danger: one that is full answers no probe in time. Held for out of reach it stayed unused for
+            # half a minute, and the fleet's load was worked out from the one or two that were left.
+            self.learn(s, max(LATE, s.load))
         elif e.verdict in ("no_connection", "timeout"):
             self.failed(s)  # out of reach says nothing of its load, nor of the fleet's
         for f in [f for f in self.choosing.values() if e.server in f.waits_for]:
@@ -253,10 +239,7 @@
         s = self.servers.get(e.server)
         if e.message_us is None or not self.aim_us or s is None:
             return
-        if e.message_us > self.aim_us / 3:
-            s.noted_at = self.now
-        if e.message_us >= self.aim_us:
-            s.late_at = self.now
+        if beliefs.noted(self, s, e.message_us, self.aim_us):
             self.cut(s)
 
     # == the learned cap ===========================================================================
@@ -454,7 +437,6 @@
             self.earn_probes()
             self.peer_tokens += 256 * PEER_BUDGET / max(self.set.price_peer, 1e-4)
             self.peer_tokens = min(64.0 * 256 * self.set.balancers, self.peer_tokens)
-            self.arrivals += 1
         if not self.admit(f):
             self.refuse(f)
             return
@@ -530,7 +512,7 @@
         return found
 
     def place(self, f: Flow) -> None:
-        f.choice = self.candidates(f) if self.setups >= 1 and self.may_try(f) else []
+        f.choice = self.candidates(f) if setups.room(self) and self.may_try(f) else []
         if not f.choice:
             self.hold(f)
             return
@@ -573,8 +555,9 @@
         f.attempts.append(Attempt(s, self.now))
         cold.send(self, self.set, s, f.load)
         s.placed += f.load
+        s.sends.append((self.now, f.load))
         self.tried += 1
-        self.setups -= 1
+        setups.sent(self)
         self.out.append(io.Send(f.event.id, s.id, limit))
 
     def hold(self, f: Flow) -> None:
@@ -596,7 +579,8 @@
         self.stand(f, s)
         s.failures = 0
         self.reached(s, True)
-        self.well += 1
+        setups.up(self, s.id, e.latency_us)
+        self.next_held()
 
     def stand(self, f: Flow, s: Server) -> None:
         s.held[f.event.id] = f
@@ -613,11 +597,9 @@
         a = f.attempts[e.attempt]
         a.verdict, s = e.verdict, a.server
         self.learn_report(s, e.report)
-        if e.verdict in ("error", "timeout"):
-            self.ill += 1
-            self.ill_at.add(s.id)
-            if len(self.ill_at) >= 3 and self.ill > 6 + 2 * self.well:
-                self.setups = min(self.setups, 0.0)  # a storm: no more until the rate is worked out
+        if not f.server:
+            setups.failed(self, s.id, e.verdict)
+            self.next_held()
         # Danger: a client that is sent away stands at another balancer, and would count at both for seconds.
         keep = not self.going
         if e.verdict in ("full", "no_connection", "timeout", "error", "broken"):
@@ -665,8 +647,9 @@
         for s in self.servers.values():
             if not s.held or s.leaves_by:
                 continue
-            load = self.belief(s)
-            if not scarce and self.now - s.late_at < NOTE_US:
+            # Danger: what left after the report's time would be sent away once more.
+            load, late = self.belief(s) * beliefs.left(self, s), beliefs.late(self, s)
+            if not scarce and late:
                 load = max(load, LATE)  # where there is room, late messages are enough
             # Danger: one that loses its capacity mostly goes on to drop all it holds: little is left there,
             # and it goes early.
@@ -675,9 +658,9 @@
                 continue
             # Danger: work piled up keeps messages late long after enough has left; without a report of the
             # load asked, wait for it to drain before taking more.
-            blind = self.now - s.load_at > FRESH_US and not self.probe(s)
+            blind = not late and self.now - s.load_at > FRESH_US and not self.probe(s)
             wait = FRESH_US if slow else DRAIN_US if blind and scarce else FEEDBACK_US
-            if self.now - s.moved_at < wait or s.probe_at >= 0:
+            if self.now - s.moved_at < wait or s.probe_at >= 0 and not late:
                 continue
             load = max(load, self.fleet) if blind else load
             s.moved_at = self.now
@@ -724,7 +707,16 @@
         self.line.setdefault(f.key, Waiter(f.arrived // self.bucket_us, f.load, self.now))
         self.forget(f, False)
 
+    def next_held(self) -> None:
+        """A set-up has ended: who waits for its place goes at once, and not with the next round."""
+        if self.held and self.window < setups.NEVER_BINDS and setups.room(self):
+            first = next(iter(self.held))
+            del self.held[first]
+            self.place(self.flows[first])
+
     def forget(self, f: Flow, keep: bool) -> None:
+        if not f.server and any(not a.verdict for a in f.attempts):
+            self.opening -= 1  # nobody waits for that set-up any more
         f.answered = True
         self.flows.pop(f.event.id, None)
         self.held.pop(f.event.id, None)
@@ -753,6 +745,7 @@
             del self.peers[n]  # departed: its clients come to the others, whose slots must not stay hidden
         self.history = [h for h in self.history if self.now - h[0] <= LAG_US]
         self.history.append((self.now, len(self.sessions) + len(self.line), self.known_active()))
+        beliefs.remember(self)
         self.learn_cap()
         setups.learn(self, ROUND_US)
         ready = sum(s.ready for s in self.servers.values())
@@ -773,14 +766,17 @@
         for zone in self.domains.to_ask(self.now):
             if there := [s for s in self.servers.values() if s.ready and s.zone == zone]:
                 self.probe(min(there, key=self.longest_unheard))
+        for s in self.servers.values():  # what stood before this balancer did is asked for at once
+            if s.load < 0 and s.ready and len(s.held) >= estimates.FEW:
+                self.probe(s)
         if not self.set.tells_delay:  # nobody says that a server is slow, so each that holds ours is asked
             for s in self.servers.values():
                 stale = s.held and s.ready and self.now - s.load_at > FRESH_US
                 if stale and max(self.fleet, self.estimate(s)) > QUIET:  # a calm fleet is not worth the price
                     self.probe(s)
         for id_ in list(self.held):
-            self.held.pop(id_)
-            self.place(self.flows[id_])
+            if self.held.pop(id_, 0) is None:  # one that ended may have let it in
+                self.place(self.flows[id_])
         if self.set.must_ask and not self.asked and self.now >= self.ask_at:
             self.asked = True
             self.out.append(io.Watch())
