--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -31,6 +31,7 @@
 from .model.front import Front
 from .model.instance import Connection, Figures, Instance, Shape
 from .model.links import Links
+from .model.store import Store
 from .policies import module
 from .policies.oracle import Oracle
 from .rules import Judge
@@ -60,6 +61,7 @@
         self.measure = Measure(e, self.plan.asked, self.begin_us, len(shapes))
         self.links = Links(e.network, streams)
         self.habits = Habits(e.clients, streams)
+        self.store = Store(float(e.store.headroom) * self.plan.per_s, float(e.store.call_ms) * 1000)
         self.setup_draw = streams.exponentials("set-up work")
         self.noise = streams.normals("report noise")
         self.errs: dict[str, float] = {}  # instances that answer ERR to set-ups, and the chance of it
--- a/glenrock/lab/day_attempts.py
+++ b/glenrock/lab/day_attempts.py
@@ -56,7 +56,8 @@
         if what == "up" and a.instance.name in self.errs and self.err_draw() < self.errs[a.instance.name]:
             what = "error"
             self.give_up(a)  # it keeps nothing of it
-        self.engine.at(self.engine.now + way, self.back, a, what)
+        asked = self.store.call(self.engine.now) if what == "up" else self.engine.now
+        self.engine.at(asked + way, self.back, a, what)
 
     def back(self: Day, a: Attempt, what: str) -> None:
         if not a.out or not self.links.open(a.flow.host.zone, a.instance.shape.zone):
@@ -183,7 +184,7 @@
         if not i.up:
             self.engine.at(now + back, self.probe_back, host, life, i, asked, "no_connection", {})
             return
-        took = i.work(now, float(r.probe_ms) * 1000)
+        took = i.work(now, float(r.probe_ms) * 1000, r.probe_waits)
         limit = asked + round(float(r.probe_timeout_ms) * 1000)
         if now + took + back > limit:
             self.engine.at(limit, self.probe_back, host, life, i, asked, "timeout", {})
--- a/glenrock/lab/model/client.py
+++ b/glenrock/lab/model/client.py
@@ -44,7 +44,8 @@
     def after_failure(self, client: Client) -> int:
         """How long until it tries again by itself."""
         if self.quick(client.failures):
-            return round(self.backoff * 2 ** (client.failures - 1) * (0.5 + self.draw()))
+            times = {"double": 2.0 ** (client.failures - 1), "fixed": 1.0, "none": 0.0}[self.spec.backoff]
+            return round(self.backoff * times * (0.5 + self.draw()))
         return round(self.pause * (0.5 + self.draw()))
 
     def after_refusal(self, client: Client, told_us: int) -> int:
--- a/glenrock/lab/model/instance.py
+++ b/glenrock/lab/model/instance.py
@@ -364,13 +364,13 @@
         self.slow = part
         self.pull(now)
 
-    def work(self, now: int, work: float) -> float:
-        """A probe's work. Returns how long it waits and takes, in microseconds."""
+    def work(self, now: int, work: float, waits: bool = True) -> float:
+        """A probe's work. Returns how long it takes in microseconds, behind what is piled up if it waits."""
         self.advance(now)
         whole = self.capacity(now)
         if whole <= 0:
             return float("inf")
-        wait = self.piled / whole * S
+        wait = self.piled / whole * S if waits else 0.0
         self.piled += work
         self.ledger.asked += work
         return wait + work / self.core(now) * S
--- a/glenrock/lab/spec.py
+++ b/glenrock/lab/spec.py
@@ -111,8 +111,16 @@
     bursty: Above0R = 2.0  # how much longer waits are than with evenly spread messages
 
 
+class Store(Strict):
+    """What every set-up asks beside its instance, all of them in one line."""
+
+    headroom: Least0R = 0.0  # calls that it can do, over the usual rate of new clients; 0: nobody waits for it
+    call_ms: Least0R = 10.0  # what a call takes in an empty line
+
+
 class Clients(Strict):
-    retries: CountR = 2  # quick ones, each after a back-off that doubles; then one each `pause_ms`
+    retries: CountR = 2  # quick ones, each after a back-off; then one each `pause_ms`
+    backoff: Literal["double", "fixed", "none"] = "double"  # how the quick ones are spaced
     backoff_ms: Above0R = 60.0
     pause_ms: Above0R = 1500.0
     honour: PartR = 0.9  # part of them that stays away as long as it was told
@@ -153,6 +161,7 @@
     noise: Least0R = 0.1  # lognormal sigma of each value
     probe_ms: Least0R = 1.1  # work of a probe, on a standard core
     probe_timeout_ms: Above0R = 250.0
+    probe_waits: bool = True  # behind the work piled up; else it is answered beside it
     load_told: bool = True  # a connection's load is told when it changes
     delay_told: bool = True  # balancers are told of connections whose messages are slow
 
@@ -210,6 +219,7 @@
     tenants: Annotated[tuple[Tenant, ...], Meta(min_length=1)] = (Tenant(name="all"),)
     traffic: Traffic = Traffic()
     clients: Clients = Clients()
+    store: Store = Store()
     network: Network = Network()
     front: Front = Front()
     discovery: Discovery = Discovery()
