Move clients that come after all others have left a balancer that is told to go

Line at fault: the loop of moves in Leaving.stop ended with the last client, and the wait for the end moved nobody. Change: it goes on to the end; then the listening socket is closed and unread first lines are refused.

--- a/glenrock/net/leaving.py
+++ b/glenrock/net/leaving.py
@@ -122,9 +122,13 @@
         elif decider.balancer.set.balancers == 1:
             # Danger: nobody else takes whom it moves. Moved over the time there is, they wait outside for it.
             await self.clock.sleep(max(0.0, until - ALONE_MS - self.clock.now()))
-        while (commands or inherited and self.entrance.unheard) and (now := self.clock.now()) < until:
+        # Danger: while this process listens, clients come. One that ended its moves when the last client was gone held
+        # whoever came later until its end, and cut them off (found on the stage: 3 of 41 connections of a run).
+        while (now := self.clock.now()) < until and (commands or self.entrance.unheard or not inherited):
             self.move_some(until - 200 - now)
             await self.clock.sleep(STEP_MS)
+        self.entrance.close()
+        self.entrance.refuses = True
         for command in list(commands.values()):
             command.mailbox.put(Move("cancelled") if command.up.is_set() else lines.nack(AGAIN_MS))
         if commands or not inherited:
