Add the stage: processes of the program among stand-ins, faults between them, a judge

Change: glenrock/stage (ways, relays, stand-ins on the laboratory's own model, processes, plan of faults, history, judge, run), stage files in the laboratory's format, glenrock stage run with a live table, summary.json, history and report; glenrock demo; docs/stage.md, docs/notes/stage.md with the ways rejected. Ruled out: traffic control and namespaces (rights), a preloaded library (another program), uvloop in the rig (its listeners cannot be made deaf). Seen to fail once: each rule on written histories, a kill that the judge is not told of (run), a SIGKILL of the rig itself.

--- a/glenrock/cli/main.py
+++ b/glenrock/cli/main.py
@@ -34,7 +34,8 @@
         return found
 
 
-ROOT = Lazy("glenrock.cli", {"serve": "serve", "check": "check", "lab": "lab"}, name="glenrock", help=(
+COMMANDS = {"serve": "serve", "check": "check", "lab": "lab", "stage": "stage", "demo": "demo"}
+ROOT = Lazy("glenrock.cli", COMMANDS, name="glenrock", help=(
     "A balancer for long-lived connections, and the tools around it.\n\n"
     "Exit codes: 0 done, 1 failed, 2 bad input."))
 
--- /dev/null
+++ b/glenrock/cli/stage.py
@@ -0,0 +1,9 @@
+"""`glenrock stage`: processes of the real program among stand-ins and faults."""
+
+from __future__ import annotations
+
+from .main import Lazy
+
+command = Lazy("glenrock.cli", {"run": "stage_run"}, name="stage", help=(
+    "Start processes of the program on loopback, strike them, and judge what came of it.\n\n"
+    "Page: docs/stage.md"))
--- /dev/null
+++ b/glenrock/cli/stage_run.py
@@ -0,0 +1,87 @@
+"""`glenrock stage run`: one scene, played in real time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+
+from . import lab_options as options
+from .main import Failed
+
+if TYPE_CHECKING:
+    from ..stage.run import Stage
+
+SHOWN_BREACHES = 3
+
+
+@click.command("run")
+@options.file
+@click.option("--seed", type=click.IntRange(0, 2**31), default=1, show_default=True)
+@options.out
+@options.settings
+@click.option("--live/--no-live", default=None, help="A table that follows the run; on a terminal by itself.")
+def command(file: Path, seed: int, out: Path | None, over: tuple[str, ...], live: bool | None) -> None:
+    """Play a scene with processes of the program, in real time, and write summary.json, history.txt and report.html.
+
+    \b
+    Examples:
+      glenrock stage run scenes/three.toml
+      glenrock stage run scenes/three.toml --seed 7 --set fleet.balancers=5 --out out/five
+    Exit codes: 0 done, 1 a rule was broken or a process did not come up, 2 bad input.
+    """
+    from ..stage import spec
+
+    scene = spec.load(file, options.overrides(over))
+    play(scene, seed, out or Path("out") / "stage" / f"{scene.name}-{seed}", live)
+
+
+def play(scene: Any, seed: int, into: Path, live: bool | None) -> dict[str, Any]:
+    from ..lab import record, report
+    from ..stage import run
+    from .stage_live import Live
+
+    summary: dict[str, Any] = {}
+
+    def fill(beside: Path) -> None:
+        with Live(live) as shown:
+            try:
+                stage, found = run.play(scene, seed, beside, shown.second)
+            except run.NotReady as bad:
+                raise Failed(str(bad)) from None
+        summary.update(found)
+        write(beside, stage, found)
+        (beside / "report.html").write_text(report.of_run(beside), encoding="utf-8")
+
+    record.folder(into, fill)
+    tell(summary)
+    click.echo(f"results: {into}/summary.json, history.txt, series.csv, report.html, balancer-N/log")
+    if broken := {k: v for k, v in summary["rules"].items() if v}:
+        for b in summary["breaches"][:SHOWN_BREACHES]:
+            click.echo(f"{b['rule']} at {b['at_s']} s: {b['text']}")
+            for line in b["led"]:
+                click.echo(f"    {line}")
+        raise Failed(f"rules broken: {', '.join(f'{k} {v} times' for k, v in broken.items())}; see history.txt")
+    return summary
+
+
+def write(beside: Path, stage: Stage, summary: dict[str, Any]) -> None:
+    from ..lab import record
+
+    record.write_tables(beside, stage.measure, stage.scene, [s.name for s in stage.instances], summary)
+    lines = (e.line(stage.history.day) for e in stage.history.events)
+    (beside / "history.txt").write_text("".join(f"{line}\n" for line in lines), encoding="utf-8")
+
+
+def tell(s: dict[str, Any]) -> None:
+    fleet, worth, c = s["fleet"], s["worth"], s["counts"]
+    click.echo(f"{s['experiment']}, seed {s['seed']}: {fleet['balancers']} balancers, {fleet['instances']} instances, "
+               f"{c['clients']} clients, {c['tries']} tries, {s['clock']['wall_s']} s")
+    click.echo(f"worth: goal {worth['goal']:.3f}, whole {worth['whole']:.3f}, worst 10 s {worth['worst_window']:.3f}")
+    for f in s["recovery_s"]:
+        back = "not back" if f["recovery_s"] is None else f"back after {f['recovery_s']} s"
+        lowest = "-" if f["lowest"] is None else f"{f['lowest']:.2f}"
+        click.echo(f"{f['kind']} at {f['from_s']:.1f} s: lowest {lowest}, {back}")
+    click.echo("rules: " + ", ".join(
+        f"{k} {v} of {s['seen'].get(k, 0)} ({s['excused'].get(k, 0)} by faults)" for k, v in s["rules"].items()))
--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -25,11 +25,12 @@
 from .engine import Engine, HeapEngine
 from .measure import Measure, ratio, rounded, told
 from .model import plan as plans
+from .model import shapes as model_shapes
 from .model.balancer import Attempt, Decisions, Flow, Host, PolicyFailed
 from .model.client import Client, Habits
 from .model.feed import Feed
 from .model.front import Front
-from .model.instance import Connection, Figures, Instance, Shape
+from .model.instance import Connection, Instance
 from .model.links import Links
 from .model.store import Store
 from .policies import module
@@ -54,7 +55,7 @@
         self.engine = engine or HeapEngine(self.begin_us)
         self.length = round(float(e.length_s) * S)
         self.zones = list(e.fleet.zones)
-        shapes = self.shapes()
+        shapes = model_shapes.shapes(e, streams)
         capacity = sum(s.cores * s.speed for s in shapes) * S
         self.plan = plans.plan(e, streams, capacity)
         self.judge = Judge(self.begin_us)
@@ -73,14 +74,8 @@
         self.silence_us = round(float(e.network.silence_s) * S)
         self.give_up_us = [round(float(c.give_up_ms) * 1000) for c in e.classes]
         self.setup_us = [float(c.setup_ms) * 1000 for c in e.classes]
-        shortest = min(float(c.message_aim_ms) for c in e.classes) * 1000
-        self.aim_us = shortest
-        usual = S / float(e.traffic.connections_per_core)
-        figures = Figures(
-            shortest * float(e.traffic.message_part), float(e.traffic.bursty),
-            tuple(float(c.message_aim_ms) * 1000 for c in e.classes), shortest,
-            usual * float(e.traffic.group_cost), usual, max(1, round(float(e.reports.period_ms) * 1000)),
-            e.rules.cold_multiple, round(e.rules.cold_window_ms * 1000))
+        figures = model_shapes.figures(e)
+        self.aim_us = figures.shortest_us
         self.instances: dict[str, Instance] = {}
         for n, shape in enumerate(shapes):
             name = f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}:7000"
@@ -108,25 +103,6 @@
         self.over = False
         self.failure = ""
 
-    def shapes(self) -> list[Shape]:
-        e, draw = self.e, self.streams.of("instances")
-        count = int(e.fleet.instances)
-        shares = np.array([float(k.share) for k in e.kinds])
-        kinds = draw.choice(len(shares), size=count, p=shares / shares.sum())
-        zones = plans.skewed(len(e.fleet.zones), float(e.fleet.instance_skew), last=True)
-        # Spread by the parts, not drawn: a small fleet must not lose a zone by chance.
-        bounds = np.cumsum(zones)
-        place = np.searchsorted(bounds, (np.arange(count) + 0.5) / count).clip(0, len(zones) - 1)
-        out = []
-        for n in range(count):
-            k = e.kinds[int(kinds[n])]
-            speed = float(k.speed) * max(0.2, 1 + float(k.speed_cv) * float(draw.standard_normal()))
-            out.append(Shape(k.name, int(place[n]), k.cores, speed, float(k.cold_part), float(k.warm_s) * S,
-                             float(k.crowd_at), float(k.crowd_loss),
-                             max(1, round(float(k.queue_per_core) * k.cores)),
-                             max(1, round(float(k.connections_per_core) * k.cores)), float(k.buffer_s), k.sheds))
-        return out
-
     # -- the whole run -------------------------------------------------------------------------------
 
     def run(self) -> dict[str, Any]:
@@ -267,23 +243,14 @@
                 self.credit(c)
                 c.value = 0.0
             i.values = [0.0] * len(i.values)
-        for row in self.plan.rows:
-            wanted = max(0, min(row.end, self.length) - max(0, row.arrival)) / S
-            worth = self.e.classes[row.kind].worth * wanted
-            self.measure.tenant_wanted[row.tenant] += worth
-            if row.weight == 1.0:
-                self.measure.tenant_asked[row.tenant] += worth
+        self.measure.ask(self.plan.rows, self.length)
         self.over = True
 
     def credit(self, c: Connection) -> None:
         """Its seconds served go to its tenant."""
         if self.over:
             return
-        row, m = c.client.row, self.measure
-        worth = self.e.classes[row.kind].worth * c.earned
-        m.tenant_all[row.tenant] += worth
-        if row.weight == 1.0:
-            m.tenant_earned[row.tenant] += worth
+        self.measure.credit(c.client.row, c.earned)
         c.earned = 0.0
 
     # -- what it came to -----------------------------------------------------------------------------
--- a/glenrock/lab/measure.py
+++ b/glenrock/lab/measure.py
@@ -6,13 +6,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
 
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
 from .spec import Experiment
 
+if TYPE_CHECKING:
+    from .model.plan import Row
+
 WINDOW_S = 10  # the worst one of this length counts
 BACK = 0.95  # of what was served before a fault: recovered once it is that again
 STAYS_S = 3  # for so long
@@ -59,6 +63,22 @@
         if 0 <= second < self.seconds:
             self.earned[second][kind] += worth
 
+    def ask(self, rows: Iterable[Row], length_us: int) -> None:
+        """What tenants wanted on the day, and within their shares."""
+        for row in rows:
+            wanted = max(0, min(row.end, length_us) - max(0, row.arrival)) / 1_000_000
+            worth = self.e.classes[row.kind].worth * wanted
+            self.tenant_wanted[row.tenant] += worth
+            if row.weight == 1.0:
+                self.tenant_asked[row.tenant] += worth
+
+    def credit(self, row: Row, seconds: float) -> None:
+        """Seconds of a client's that were served in time go to its tenant."""
+        worth = self.e.classes[row.kind].worth * seconds
+        self.tenant_all[row.tenant] += worth
+        if row.weight == 1.0:
+            self.tenant_earned[row.tenant] += worth
+
     def put(self, second: int, **values: float) -> None:
         """Values of the time series for that second."""
         for name, value in values.items():
--- a/glenrock/lab/record.py
+++ b/glenrock/lab/record.py
@@ -21,6 +21,8 @@
 
 from ..toml_file import BadFile
 from .day import Day
+from .measure import Measure
+from .spec import Experiment
 
 OURS = ("summary.json", "sweep.json", "compare.json")  # a folder that holds one of these may be replaced
 
@@ -70,13 +72,16 @@
 
 
 def write_run(into: Path, day: Day, summary: dict[str, Any]) -> None:
+    write_tables(into, day.measure, day.e, list(day.instances), summary)
+
+
+def write_tables(into: Path, m: Measure, e: Experiment, instances: list[str], summary: dict[str, Any]) -> None:
     (into / "summary.json").write_text(text_of(summary), encoding="utf-8")
-    m = day.measure
     served = np.array(m.earned)
     names = list(m.series)
     with open(into / "series.csv", "w", newline="", encoding="utf-8") as f:
         out = csv.writer(f)
-        classes = [c.name for c in day.e.classes]
+        classes = [c.name for c in e.classes]
         out.writerow(["second", "asked", "served", *(f"asked {c}" for c in classes),
                       *(f"served {c}" for c in classes), *names])
         for s in range(m.seconds):
@@ -85,10 +90,10 @@
             out.writerow([s, *(f"{v:.6g}" for v in row)])
     with open(into / "heat.csv", "w", newline="", encoding="utf-8") as f:
         out = csv.writer(f)
-        out.writerow(["second", *day.instances])
+        out.writerow(["second", *instances])
         for s in range(m.seconds):
             out.writerow([s, *(f"{v:.3f}" for v in m.heat[:, s])])
-    kept = {f"setup {c.name}": h.encode().decode() for c, h in zip(day.e.classes, m.waits, strict=True)}
+    kept = {f"setup {c.name}": h.encode().decode() for c, h in zip(e.classes, m.waits, strict=True)}
     kept |= {"messages": m.messages.encode().decode(), "refusals": m.refusals.encode().decode()}
     (into / "histograms.json").write_text(text_of(kept), encoding="utf-8")
 
--- /dev/null
+++ b/glenrock/stage/spec.py
@@ -0,0 +1,153 @@
+"""Stage files: the laboratory's experiment format, with faults that strike processes and the ways between them."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta
+
+from .. import toml_file
+from ..lab import spec as lab
+from ..lab.spec_faults import Fault
+from ..lab.spec_types import Above0R, Least0R, PartR, Strict
+from ..toml_file import BadFile, fault
+
+Party = Annotated[str, Meta(pattern=r"^(clients|list|(balancer|instance):(\*|[0-9]{1,4}))$")]
+Number = Annotated[int, Meta(ge=-1)]  # -1: drawn anew for each seed
+MOST_BALANCERS, MOST_INSTANCES = 200, 90  # each has an address of its own in one net
+
+
+class Kill(Fault):
+    """SIGKILL; the same configuration starts again after `down_s` (0: never)."""
+
+    balancer: Number = -1
+    down_s: Least0R = 1.0
+
+
+class Stop(Fault):
+    """SIGTERM, SIGKILL after `patience_s`, and a new start `down_s` after it has ended (0: never)."""
+
+    balancer: Number = -1
+    down_s: Least0R = 1.0
+    patience_s: Above0R = 4.0
+
+
+class Pause(Fault):
+    """SIGSTOP, and SIGCONT after `for_s`: the process sleeps and does not know it."""
+
+    balancer: Number = -1
+    for_s: Above0R = 2.0
+
+
+class Squeeze(Fault):
+    """CPU taken away: a lower priority, and a busy neighbour on the one core that it may use."""
+
+    balancer: Number = -1
+    for_s: Above0R = 3.0
+    nice: Annotated[int, Meta(ge=0, le=19)] = 10
+
+
+class InstanceKill(Fault):
+    """An instance's process dies and comes back cold after `down_s` (0: never)."""
+
+    instance: Number = -1
+    down_s: Least0R = 2.0
+
+
+class Drain(Fault):
+    """The list says that an instance drains; it stops after `drain_s` and comes back cold after `down_s`."""
+
+    instance: Number = -1
+    drain_s: Above0R = 4.0
+    down_s: Least0R = 2.0
+
+
+class ListFault(Fault):
+    """The list service is silent, refuses (503), or takes `call_ms` for each call."""
+
+    how: Literal["silent", "refuses", "slow"] = "silent"
+    for_s: Above0R = 3.0
+    call_ms: Above0R = 500.0
+
+
+class Way(Fault):
+    """The way from one party to another, in that direction alone; `*` is every one of a kind.
+
+    `loss`, `doubled` and `disordered` strike datagrams only; a cut holds streams still, and none comes up.
+    """
+
+    source: Party
+    target: Party
+    for_s: Above0R = 3.0
+    loss: PartR = 0.0
+    doubled: PartR = 0.0
+    disordered: PartR = 0.0  # of datagrams, held back until a later one has passed
+    delay_ms: Least0R = 0.0
+    jitter_ms: Least0R = 0.0  # beside the delay, drawn evenly
+    trickle: Least0R = 0.0  # bytes a second, 0: as many as come
+    cut: bool = False
+    reset: bool = False
+
+
+AnyFault = Kill | Stop | Pause | Squeeze | InstanceKill | Drain | ListFault | Way
+
+
+class Rig(Strict):
+    """How the processes run."""
+
+    sockets: Annotated[int, Meta(ge=64)] = 1024  # descriptors of one
+    memory_mb: Annotated[int, Meta(ge=64)] = 1024  # address space of one
+    ready_s: Above0R = 15.0  # all of them answer PING within this, or the run has failed
+    admit_s: Least0R = 0.2  # the front looks at a balancer so often
+    ask_s: Above0R = 2.0  # a client sends a line so often
+    call_ms: Least0R = 5.0  # the list service's time for a call; calls wait in line
+    line_s: Above0R = 2.0  # it gives up a call that has waited so long
+
+
+class Scene(lab.Experiment, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """A stage file."""
+
+    faults: tuple[AnyFault, ...] = ()  # type: ignore[assignment]
+    rig: Rig = Rig()
+
+
+def load(path: Path, overrides: dict[str, Any] | None = None) -> Scene:
+    """The scene in that file. Raises BadFile, with file, line and key."""
+    raw, text = lab.raw_of(path)
+    for key, value in (overrides or {}).items():
+        raw = lab.put(raw, key, value, path)
+    found = toml_file.convert(path, text, raw, Scene)
+    check(found, path, text)
+    return found
+
+
+def check(e: Scene, path: Path, text: str) -> None:
+    """What the types alone do not say."""
+    lab.check(e, path, text)
+
+    def need(ok: bool, key: str, what: str) -> None:
+        if not ok:
+            raise fault(path, text, key, what)
+
+    counts = {"balancer": lab.low(e.fleet.balancers), "instance": lab.low(e.fleet.instances)}
+    need(lab.high(e.fleet.balancers) <= MOST_BALANCERS, "fleet.balancers", f"at most {MOST_BALANCERS}")
+    need(lab.high(e.fleet.instances) <= MOST_INSTANCES, "fleet.instances", f"at most {MOST_INSTANCES}")
+    need(not e.sweep and not e.constants, "sweep" if e.sweep else "constants", "only the laboratory knows this")
+    for n, f in enumerate(e.faults):
+        for kind, count in counts.items():
+            number = getattr(f, kind, -1)
+            need(number < count, f"faults[{n}].{kind}", f"there is no {kind} {number} on every day")
+        if isinstance(f, Way):
+            for end in ("source", "target"):
+                kind, _, which = getattr(f, end).partition(":")
+                need(not which or which == "*" or int(which) < counts[kind], f"faults[{n}].{end}",
+                     f"there is no {kind} {which} on every day")
+            ends = {re.sub(":.*", "", f.source), re.sub(":.*", "", f.target)}
+            need(ends in WAYS, f"faults[{n}]", f"nothing goes from {f.source} to {f.target}")
+
+
+WAYS = ({"clients", "balancer"}, {"balancer", "instance"}, {"balancer", "list"}, {"balancer"})
+
+__all__ = ["BadFile", "Scene", "check", "load"]
--- /dev/null
+++ b/tests/stage/test_processes.py
@@ -0,0 +1,77 @@
+"""Processes of the program: paused, killed, and none that outlives the stage."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from glenrock.stage import config, processes
+from glenrock.stage.history import History
+from glenrock.stage.net import Net
+from wheatrouter import interface as io
+from wheatrouter.settings import settings_of
+
+
+def told(net: Net) -> dict:
+    host, port = net.balancer(190)
+    s = io.Settings(classes=(io.RequestClass("browse", 300_000, 1_500_000, 90_000, 2.0),),
+                    tenants=(io.Tenant("all", 40.0),), balancers=2, reports=("load_ratio", "backlog"), may_probe=True)
+    assert settings_of(config.settings(s, ("all",))) == s
+    return {"name": "n0", "listen": f"{host}:{port}", "discovery": f"{host}:9", "seed": "1",
+            "limits": {"sockets": 128}, "settings": config.settings(s, ("all",))}
+
+
+def state(pid: int) -> str:
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2][0]
+    except OSError:
+        return "gone"
+
+
+def until(what, seconds: float = 10.0) -> bool:
+    end = time.monotonic() + seconds
+    while not (found := bool(what())) and time.monotonic() < end:
+        time.sleep(0.02)
+    return found
+
+
+def test_a_process_is_started_paused_resumed_squeezed_and_ended_whatever_its_state(tmp_path) -> None:
+    h = History(lambda: 0)
+    b = processes.Balancer(0, tmp_path / "b", told(Net()), h, 512)
+    try:
+        b.begin()
+        pid = b.process.pid
+        assert until(lambda: any("ready" in line for line in b.log_lines()))
+        assert b.pause() and until(lambda: state(pid) == "T")
+        b.resume()
+        assert until(lambda: state(pid) in "SR")
+        b.squeeze(10, max(os.sched_getaffinity(0)))
+        assert os.sched_getaffinity(pid) == {max(os.sched_getaffinity(0))} and b.neighbour.poll() is None
+        burner = b.neighbour.pid
+        b.loosen(os.sched_getaffinity(0))
+        assert os.sched_getaffinity(pid) == os.sched_getaffinity(0) and state(burner) == "gone"
+        b.pause()
+    finally:
+        b.end()
+    assert state(pid) == "gone" and not b.kill() and not b.pause()
+    assert [e.what for e in h.events] == ["started", "paused", "resumed", "squeezed", "loosened", "paused"]
+
+
+def test_no_process_outlives_a_stage_that_is_killed(tmp_path) -> None:
+    (tmp_path / "told.json").write_text(json.dumps(told(Net())))
+    code = ("import json, sys, time; from pathlib import Path; from glenrock.stage import processes, history\n"
+            "told = json.loads(Path('told.json').read_text())\n"
+            "b = processes.Balancer(0, Path('b'), told, history.History(lambda: 0), 512)\n"
+            "b.begin(); print(b.process.pid, flush=True); time.sleep(60)")
+    stage = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=tmp_path)
+    pid = int(stage.stdout.readline())
+    assert state(pid) != "gone"
+    stage.send_signal(signal.SIGKILL)
+    stage.wait()
+    stage.stdout.close()
+    assert until(lambda: state(pid) in ("gone", "Z"))
--- /dev/null
+++ b/tests/stage/test_run.py
@@ -0,0 +1,56 @@
+"""Whole runs: processes of the program, faults between them, and the rules kept. Verdicts are on invariants."""
+
+from __future__ import annotations
+
+import pytest
+
+from glenrock.stage import faults
+
+from .scenes import played
+
+RUNS = {
+    "processes": [{"kind": "kill", "at_s": 1.0, "balancer": 0, "down_s": 0.5},
+                  {"kind": "pause", "at_s": 2.0, "balancer": 1, "for_s": 1.5},
+                  {"kind": "stop", "at_s": 3.5, "balancer": 2, "down_s": 0.3}],
+    "ways": [{"kind": "way", "at_s": 1.0, "source": "balancer:0", "target": "instance:*", "for_s": 1.5, "cut": True},
+             {"kind": "way", "at_s": 2.0, "source": "instance:1", "target": "balancer:1", "for_s": 1.5, "cut": True},
+             {"kind": "way", "at_s": 1.0, "source": "balancer:*", "target": "balancer:*", "for_s": 4.0, "loss": 0.5,
+              "doubled": 0.3, "disordered": 0.3, "delay_ms": 40.0},
+             {"kind": "way", "at_s": 3.0, "source": "clients", "target": "balancer:2", "for_s": 1.0, "reset": True}],
+    "stand-ins": [{"kind": "instance_kill", "at_s": 1.0, "instance": 0, "down_s": 1.0},
+                  {"kind": "drain", "at_s": 1.5, "instance": 1, "drain_s": 2.5, "down_s": 0.5},
+                  {"kind": "list_fault", "at_s": 2.0, "how": "refuses", "for_s": 1.0},
+                  {"kind": "list_fault", "at_s": 3.5, "how": "slow", "for_s": 1.0, "call_ms": 200.0}]}
+
+
+@pytest.mark.parametrize("name", RUNS)
+def test_the_rules_are_kept_through_faults_and_service_comes_back(name) -> None:
+    stage, s = played(seed=3, faults=RUNS[name])
+    assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
+    struck = {e.data["kind"] for e in stage.history.each("fault")}
+    assert struck == {f["kind"] for f in RUNS[name]}
+    assert s["seen"]["answered"] > 20 and s["seen"]["repeated"] > 10, "the judge had something to look at"
+    assert stage.measure.series["standing"][-1] >= 0.6 * (
+        stage.measure.series["standing"][-1] + stage.measure.series["line"][-1])
+    assert not any(b.up for b in stage.balancers)
+    if name == "processes":
+        assert [b.lives for b in stage.balancers] == [2, 1, 2]
+        assert s["counts"]["moved"] > 0, "the one that was told to go moved its clients"
+    if name == "ways":
+        assert s["counts"]["datagrams_lost"] > 0 and s["counts"]["datagrams"] > 0
+    if name == "stand-ins":
+        assert s["counts"]["list_refused"] > 0 and s["seen"]["cold"] > 4
+
+
+def test_a_run_without_faults_excuses_nothing_and_loses_nobody() -> None:
+    _, s = played(seed=2, length_s=5.0)
+    assert not s["breaches"] and not s["excused"] and not s["counts"]["broken"]
+    assert s["worth"]["whole"] > 0.9
+
+
+def test_a_kill_that_the_judge_is_not_told_of_is_a_breach(monkeypatch) -> None:
+    """Planted: what excuses a killed process is left out, so its clients count as cut off by the program."""
+    strike = faults.Faults.strike
+    monkeypatch.setattr(faults.Faults, "strike", lambda self, f, *parties, lag_us=0: strike(self, f))
+    _, s = played(seed=3, length_s=4.0, faults=[{"kind": "kill", "at_s": 2.0, "balancer": 0, "down_s": 0.5}])
+    assert s["rules"]["cut_off"] > 0 and not s["rules"]["repeated"] and not s["excused"]
--- /dev/null
+++ b/tests/stage/test_spec.py
@@ -0,0 +1,37 @@
+"""Stage files: what is wrong is told in one line, with file, line and key."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from glenrock.cli.main import run
+from glenrock.stage import spec
+
+SCENES = Path(__file__).resolve().parents[2] / "scenes"
+FAULT = '[[faults]]\nkind = "{}"\nat_s = 1.0\n'
+
+
+@pytest.mark.parametrize("file", sorted(SCENES.glob("*.toml")), ids=lambda p: p.stem)
+def test_what_is_shipped_is_sound(file) -> None:
+    assert spec.load(file).faults
+
+
+@pytest.mark.parametrize("text, told", [
+    (FAULT.format("crash"), "faults[0].kind: "), (FAULT.format("kill") + "balancer = 3\n", "there is no balancer 3"),
+    (FAULT.format("instance_kill") + "instance = 12\n", "there is no instance 12"),
+    (FAULT.format("way") + 'source = "balancer:*"\ntarget = "nobody"\n', "faults[0].target: "),
+    (FAULT.format("way") + 'source = "list"\ntarget = "clients"\n', "nothing goes from list to clients"),
+    (FAULT.format("way") + 'source = "balancer:9"\ntarget = "list"\n', "faults[0].source: there is no balancer 9"),
+    (FAULT.format("pause") + "for_s = -1.0\n", "faults[0].for_s: "),
+    ("[fleet]\nballancers = 3\n", "fleet.ballancers: not a key that is known here"),
+    ("[fleet]\nbalancers = 500\n", "fleet.balancers: at most 200"),
+    ("[rig]\nsockets = 5\n", "rig.sockets: "), ("[constants]\nCAP_CUT = 0.5\n", "constants: only the laboratory")])
+def test_a_fault_in_a_stage_file_is_told_in_one_line(tmp_path, capsys, text, told) -> None:
+    file = tmp_path / "x.toml"
+    file.write_text('name = "x"\n' + text)
+    assert run(["stage", "run", str(file), "--out", str(tmp_path / "out")]) == 2
+    err = capsys.readouterr().err
+    assert err.count("\n") == 1 and f"{file}:" in err and told in err, err
+    assert not (tmp_path / "out").exists()
