Begin one owner at a time: terms, fences, the store of one machine, an explorer

Found by the explorer in the first store, and mended: an acquire that was given up came late and put the holder's term aside; with the same term for it a late release gave it away. Requests of a holder are numbered and taken in order now. Not built: jobs, wiring, the store of several machines.

--- /dev/null
+++ b/tests/fleet/test_ownership.py
@@ -0,0 +1,258 @@
+"""One owner at a time: the core and the fence explored, and the store of one machine among processes."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sqlite3
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenrock.fleet.ownership.claim import Ask, Began, Claim, Ended, Rules
+from glenrock.fleet.ownership.explore import Explorer
+from glenrock.fleet.ownership.fence import Fence
+from glenrock.fleet.ownership.sqlite_store import SqliteStore, StoreDown
+
+R = Rules(lease=1000, drift=0.1, ask_within=300, again=50, wary=200)
+OWN = R.own
+
+
+def owner(at: int = 0, term: int = 7) -> Claim:
+    c = Claim(R)
+    (ask,) = c.tick(at)
+    assert c.answer(at + 10, ask.request, term) == [Began(term, at + OWN)]
+    return c
+
+
+@pytest.mark.parametrize("now, holds", [(OWN - 1, 7), (OWN, None), (OWN + 1, None), (99 * OWN, None)])
+def test_a_term_ends_by_its_owners_own_clock_counted_from_before_it_asked(now, holds) -> None:
+    c = owner()
+    assert c.holds(now) == holds  # whoever slept until then has not looked at its clock yet
+    ended = [e for e in c.tick(now) if isinstance(e, Ended)]
+    assert bool(ended) == (holds is None) and c.holds(now) == holds
+
+
+def test_an_answer_that_was_slept_over_begins_no_term_and_is_given_back() -> None:
+    c = Claim(R)
+    (ask,) = c.tick(0)
+    assert c.answer(OWN, ask.request, 7) == [Ask(2, "release", 7, 0)]
+    assert c.holds(OWN) is None
+
+
+def test_a_renewal_counts_from_when_it_was_asked_and_one_that_is_lost_takes_nothing_away() -> None:
+    c = owner()
+    at = int(OWN * R.renew_part)
+    (ask,) = c.tick(at)
+    assert ask.kind == "renew" and c.lost(at + 300, ask.request) == []
+    assert c.holds(OWN - 1) == 7, "the term goes on as long as it is proven"
+    (again,) = c.tick(at + 400)
+    assert c.answer(at + 450, ask.request, 7) == [] and c.until == OWN, "an answer to an older request is nobody's"
+    c.answer(at + 460, again.request, 7)
+    assert c.holds(at + 400 + OWN - 1) == 7 and c.holds(at + 400 + OWN) is None
+
+
+@pytest.mark.parametrize("what", ["renewal refused", "a receiver has seen more", "steps down"])
+def test_an_owner_that_is_told_so_is_none_at_once(what) -> None:
+    c = owner()
+    if what == "renewal refused":
+        (ask,) = c.tick(int(OWN * R.renew_part))
+        c.answer(500, ask.request, 0)
+    elif what == "steps down":
+        assert c.leave(500)[1].kind == "release"
+    else:
+        c.refused(500, 9)
+        (ask,) = c.tick(600)
+        assert ask.floor == 9 and c.answer(610, ask.request, 9) == [Ask(ask.request + 1, "release", 9, 9)]
+    assert c.holds(501) is None
+
+
+steps = st.lists(st.tuples(st.sampled_from(["tick", "grant", "refuse", "lose", "seen", "leave"]), st.integers(0, 700)),
+                 max_size=40)
+
+
+@given(steps)
+def test_whatever_comes_an_owner_holds_only_within_its_lease_and_one_request_is_out(what) -> None:
+    c, now, term, asked, granted_until = Claim(R), 0, 0, [], 0
+    for kind, gap in what:
+        now += gap
+        out: list[object] = []
+        if kind == "tick":
+            out = c.tick(now)
+        elif kind == "lose":
+            out = c.lost(now, c.request)
+        elif kind == "leave":
+            out = c.leave(now)
+        elif kind == "seen":
+            out = c.refused(now, term + gap % 2)
+        if kind in ("grant", "refuse") and asked:
+            sent_at, ask = asked.pop()
+            term += ask.kind == "acquire"
+            granted_until = max(granted_until, sent_at + OWN) if kind == "grant" else granted_until
+            out = c.answer(now, ask.request, term if kind == "grant" else 0)
+        asked += [(now, e) for e in out if isinstance(e, Ask)]
+        assert sum(isinstance(e, Ask) for e in out) <= 1
+        if c.holds(now):
+            assert now < granted_until
+
+
+@given(st.lists(st.tuples(st.integers(1, 4), st.integers(1, 4), st.booleans()), max_size=40))
+def test_a_fence_takes_terms_in_order_and_nothing_twice_over_restarts(effects) -> None:
+    f, taken = Fence(known=True), []
+    for term, number, restarts in effects:
+        if restarts:
+            kept, f = f.seen, Fence()
+            assert not f.take("job", 9, 9).ok, "nothing is taken before it has read back what it knew"
+            f.learned(kept)
+        if f.take("job", term, number).ok:
+            taken.append((term, number))
+    assert taken == sorted(set(taken))
+
+
+@pytest.mark.parametrize("fault, found", [
+    ("", ""), ("store_forgets", ""), ("no_check", "late"), ("from_answer", "late"), ("forgets", "order"),
+    ("voids", "late"), ("any_order", "late")])
+def test_all_that_can_happen_keeps_the_order_and_each_planted_fault_is_found(fault, found) -> None:
+    whole = fault not in ("forgets", "any_order")  # these lie deep: without slips and losses CI has the time
+    e = Explorer(wire=2, restarts=1, terms=2, receivers=1, slips=whole, losses=whole,
+                 faults=frozenset([fault] if fault else []), most=60_000 if whole else 300_000)
+    result = e.run()
+    if not found:
+        assert not result.wrong, (result.wrong, result.way)
+        assert result.states > 1000
+    else:
+        assert result.wrong.startswith(found), (result.wrong, result.way, result.states)
+
+
+# -- the store of one machine ----------------------------------------------------------------------------
+
+
+class Clock:
+    now = 1_000_000
+
+    def __call__(self) -> int:
+        return self.now
+
+
+def test_leases_run_out_terms_only_grow_and_records_want_the_term(tmp_path) -> None:
+    clock = Clock()
+    s = SqliteStore(tmp_path / "s", now=clock, boot="one")
+    assert s.acquire("job", "a", 1, 1000) == 1 and s.acquire("job", "b", 1, 1000) == 0
+    assert s.put("job", "a", 1, 1, "k", "old") and not s.put("job", "b", 1, 1, "k", "x")
+    clock.now += 999
+    assert s.renew("job", "a", 2, 1, 1000) == 1 and s.acquire("job", "b", 2, 1000) == 0
+    clock.now += 1000
+    assert s.renew("job", "a", 3, 1, 1000) == 0 and not s.put("job", "a", 1, 2, "k", "late")
+    assert s.acquire("job", "b", 3, 1000, floor=5) == 6
+    s.release("job", "a", 4, 1)
+    assert s.lease("job").holder == "b" and s.records("job") == {"k": ("old", 1, 1)}
+    s.release("job", "b", 4, 6)
+    assert s.acquire("job", "a", 5, 1000) == 7, "given back: nobody waits"
+    other = SqliteStore(tmp_path / "s", now=clock, boot="two")
+    assert other.lease("job").holder == "" and other.acquire("job", "b", 1, 1000) == 8, "an earlier boot's is void"
+
+
+def test_a_holders_requests_are_taken_in_order(tmp_path) -> None:
+    # Found by the explorer: a release and an acquire that were given up came after the acquire made in their place.
+    s = SqliteStore(tmp_path / "s", now=Clock(), boot="one")
+    assert s.acquire("job", "a", 3, 1000) == 1
+    s.release("job", "a", 2, 1)
+    assert s.acquire("job", "a", 1, 1000) == 0 and s.lease("job").holder == "a" and s.lease("job").term == 1
+
+
+def test_after_a_lease_that_ran_out_nobody_gets_it_for_the_lock_delay(tmp_path) -> None:
+    clock = Clock()
+    s = SqliteStore(tmp_path / "s", lock_delay_us=500, now=clock, boot="one")
+    s.acquire("job", "a", 1, 1000)
+    clock.now += 1400
+    assert s.acquire("job", "b", 1, 1000) == 0
+    clock.now += 200
+    assert s.acquire("job", "b", 2, 1000) == 2
+
+
+def test_a_store_that_cannot_be_asked_says_so(tmp_path) -> None:
+    with pytest.raises(StoreDown, match="no/such"):
+        SqliteStore(tmp_path / "no/such/folder")
+    s = SqliteStore(tmp_path / "s")
+    held = sqlite3.connect(tmp_path / "s", isolation_level=None)
+    held.execute("BEGIN IMMEDIATE")
+    with pytest.raises(StoreDown):
+        s.acquire("job", "a", 1, 1000)
+    held.execute("ROLLBACK")
+    assert s.acquire("job", "a", 1, 1000) == 1
+
+
+WORKER = """
+import sys, time
+from pathlib import Path
+from glenrock.fleet.ownership.claim import Ask, Claim, Rules
+from glenrock.fleet.ownership.sqlite_store import SqliteStore, StoreDown, boottime_us
+name, path, until = f"{sys.argv[1]}/{boottime_us()}", Path(sys.argv[2]), float(sys.argv[4])
+out = open(sys.argv[3], "a", buffering=1)
+rules = Rules(lease=200_000, drift=0.05, ask_within=100_000, again=20_000, wary=40_000)
+store, claim, number = SqliteStore(path), Claim(rules), 0
+while time.monotonic() < until:
+    for e in claim.tick(boottime_us()):
+        if isinstance(e, Ask):
+            try:
+                granted = (store.acquire("job", name, e.request, rules.lease, e.floor) if e.kind == "acquire" else
+                           store.renew("job", name, e.request, e.term, rules.lease) if e.kind == "renew" else
+                           store.release("job", name, e.request, e.term) or 0)
+            except StoreDown:
+                claim.lost(boottime_us(), e.request)
+                continue
+            claim.answer(boottime_us(), e.request, granted)
+    if (term := claim.holds(boottime_us())) is not None:
+        number += 1
+        time.sleep(0.004)  # between check and write lies time in which a process may be stopped
+        ok = store.put("job", name, term, number, f"{name} {number} {until}", name)
+        out.write(f"{boottime_us()} {name} {term} {number} {int(ok)}\\n")
+    time.sleep(0.002)
+"""
+
+
+def test_processes_that_are_paused_and_killed_at_drawn_instants_write_in_order_of_terms(tmp_path) -> None:
+    """Four processes on one store, one asleep or dead at a time; judged by the order in which the store took it."""
+    draw, until = random.Random(7), time.monotonic() + 8.0
+    log, db = tmp_path / "log", tmp_path / "store"
+    SqliteStore(db).close()
+
+    def start(name: str) -> subprocess.Popen[bytes]:
+        return subprocess.Popen([sys.executable, "-c", WORKER, name, str(db), str(log), str(until)],
+                                cwd=Path(__file__).resolve().parents[2])
+
+    workers = {f"w{n}": start(f"w{n}") for n in range(4)}
+    strikes = 0
+    try:
+        time.sleep(1.0)
+        while time.monotonic() < until - 1.0:
+            name = draw.choice(sorted(workers))
+            if draw.random() < 0.3:
+                workers[name].kill()
+                workers[name].wait()
+                workers[name] = start(name)
+            else:
+                workers[name].send_signal(signal.SIGSTOP)
+                time.sleep(draw.choice([0.05, 0.19, 0.21, 0.35]))  # round a lease's end, and long past it
+                workers[name].send_signal(signal.SIGCONT)
+            strikes += 1
+            time.sleep(0.05 * draw.random())
+        for w in workers.values():
+            w.wait(20)
+    finally:
+        for w in workers.values():
+            w.kill()
+            w.wait()
+    with sqlite3.connect(db) as direct:
+        written = direct.execute("SELECT term, value FROM record ORDER BY rowid").fetchall()  # as the store took them
+    terms = [term for term, _ in written]
+    assert strikes > 10 and len(written) > 100 and len(set(terms)) > 3
+    assert terms == sorted(terms), "nothing of an older term is taken after a newer one's first"
+    assert len(set(written)) == len(set(terms)), "a term has one owner"
+    tried = [line.split() for line in log.read_text().splitlines()]
+    assert any(ok == "0" for *_, ok in tried), "void unless somebody tried late: the store refused it"
