--- a/wheatrouter/beliefs.py
+++ b/wheatrouter/beliefs.py
@@ -66,12 +66,12 @@
 
 
 def slow(m: Memory, s: Server) -> bool:
-    """Whether it told of slow messages while a probe was out: an answer that does not come then tells of load."""
+    """Whether it told of slow messages while a probe was out: no answer then tells of load."""
     return bool(s.held) and m.now - s.noted_at < NOTE_US
 
 
 def heard(m: Memory, s: Server) -> bool:
-    """Whether it said anything lately: a probe that it leaves unanswered is no proof that it is out of reach."""
+    """Whether it said anything lately: a probe left unanswered is no proof then that it is out of reach."""
     return m.now - s.heard_at < NOTE_US
 
 
@@ -108,7 +108,7 @@
 def left(m: Memory, s: Server) -> float:
     """The part of our load there that has not left since its last report. The others shed as we do.
 
-    Danger: of a hundred connections a balancer of many holds two. One that ends there says nothing of the rest.
+    Danger: of a hundred connections a balancer of many holds two; one that ends says nothing of the rest.
     """
     here = mine(s)
     tells = len(s.held) >= FEW and m.now - s.load_at < KNOWN_US and not late(m, s)
