--- a/glenrock/stage/clients.py
+++ b/glenrock/stage/clients.py
@@ -111,9 +111,8 @@
         self.counts["tries"] += 1
         id_ = f"{row.number}.{c.tries}"
         self.registry[id_] = row
-        fields = f"c={kind.name},t={self.scene.tenants[row.tenant].name},d={float(kind.give_up_ms):.0f},g={row.group:x}"
-        fields += ",again=1" if c.again else ""
-        fields = f"c={kind.name},t={self.scene.tenants[row.tenant].name},g={row.group:x},at={at}" if at else fields
+        fields = f"c={kind.name},t={self.scene.tenants[row.tenant].name},g={row.group:x}"
+        fields += f",at={at}" if at else f",d={float(kind.give_up_ms):.0f}{',again=1' if c.again else ''}"
         try:
             async with asyncio.timeout(DIAL_S):
                 reader, writer = await asyncio.open_connection(*self.addresses[number])
--- a/glenrock/stage/faults.py
+++ b/glenrock/stage/faults.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ..lab.spec_faults import Fault, fault_name
@@ -52,6 +53,15 @@
         self.on.append(spell)
         return spell
 
+    async def lasting(self, f: spec.Pause | spec.Squeeze | spec.ListFault | spec.Way, begin: Callable[[], object],
+                      undo: Callable[[], object], *parties: str, lag_us: int = SETTLE_US) -> None:
+        """A fault that lasts its time and is undone then."""
+        spell = self.strike(f, *parties, lag_us=lag_us)
+        begin()
+        await asyncio.sleep(float(f.for_s))
+        undo()
+        self.lift(spell)
+
     def lift(self, spell: Spell) -> None:
         self.stage.history.lift(spell)
         self.on.remove(spell)
@@ -88,19 +98,11 @@
 
     async def pause(self, f: spec.Pause, number: int) -> None:
         b = self.stage.balancers[number]
-        spell = self.strike(f, b.name)
-        b.pause()
-        await asyncio.sleep(float(f.for_s))
-        b.resume()
-        self.lift(spell)
+        await self.lasting(f, b.pause, b.resume, b.name)
 
     async def squeeze(self, f: spec.Squeeze, number: int) -> None:
         b = self.stage.balancers[number]
-        spell = self.strike(f, b.name)
-        b.squeeze(f.nice, max(self.cores))
-        await asyncio.sleep(float(f.for_s))
-        b.loosen(self.cores)
-        self.lift(spell)
+        await self.lasting(f, lambda: b.squeeze(f.nice, max(self.cores)), lambda: b.loosen(self.cores), b.name)
 
     # -- stand-ins -------------------------------------------------------------------------------------
 
@@ -138,13 +140,12 @@
 
     async def list_fault(self, f: spec.ListFault, number: int) -> None:
         listing = self.stage.listing
-        spell = self.strike(f, "list")
-        listing.silent, listing.refuses = f.how == "silent", f.how == "refuses"
-        listing.slow_s = float(f.call_ms) / 1000 if f.how == "slow" else 0.0
-        await asyncio.sleep(float(f.for_s))
-        listing.silent = listing.refuses = False
-        listing.slow_s = 0.0
-        self.lift(spell)
+
+        def be(how: str) -> None:
+            listing.silent, listing.refuses = how == "silent", how == "refuses"
+            listing.slow_s = float(f.call_ms) / 1000 if how == "slow" else 0.0
+
+        await self.lasting(f, lambda: be(f.how), lambda: be(""), "list")
 
     # -- ways ------------------------------------------------------------------------------------------
 
@@ -154,8 +155,5 @@
         struck = {p for p in every for q in every if ways.strikes(f, p, q) or ways.strikes(f, q, p)}
         datagrams = struck <= {b.name for b in stage.balancers}
         # What balancers tell each other is no part of any rule: losing it excuses nothing.
-        spell = self.strike(f, *(() if datagrams else struck), lag_us=STREAM_SETTLE_US)
-        stage.ways.begin(f)
-        await asyncio.sleep(float(f.for_s))
-        stage.ways.end(f)
-        self.lift(spell)
+        await self.lasting(f, lambda: stage.ways.begin(f), lambda: stage.ways.end(f), *(() if datagrams else struck),
+                           lag_us=STREAM_SETTLE_US)
--- a/glenrock/stage/judge.py
+++ b/glenrock/stage/judge.py
@@ -17,7 +17,6 @@
 LATE_MS = 500  # an answer past its time is late; this much later, or never, it is lost (a busy machine's slack)
 SLACK_MS = 50  # of each time limit on sockets
 IN_FLIGHT_MS = 100  # a close that its sender has done may arrive so much after what it sent next
-SETTLE_US = 1_000_000  # the consequences of a fault show up to this long after it
 
 
 @dataclass(frozen=True, slots=True)
--- a/glenrock/stage/processes.py
+++ b/glenrock/stage/processes.py
@@ -24,6 +24,11 @@
 LIBC = ctypes.CDLL(None, use_errno=True)
 
 
+def die_with_parent() -> None:
+    """In a child, before its program: it ends when the stage does, even if that is killed."""
+    LIBC.prctl(DIES_WITH_PARENT, signal.SIGKILL, 0, 0, 0)
+
+
 class Balancer:
     """One balancer over all its lives. Its file, folder and log are its own."""
 
@@ -58,8 +63,8 @@
         self.history.note(self.name, "started", life=self.lives, pid=self.process.pid)
 
     def bound(self) -> None:
-        """In the child, before the program: it dies with the stage, even if that is killed, and has its limits."""
-        LIBC.prctl(DIES_WITH_PARENT, signal.SIGKILL, 0, 0, 0)
+        """In the child, before the program: it dies with the stage, and has its limits."""
+        die_with_parent()
         sockets = int(self.config["limits"]["sockets"])
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
         resource.setrlimit(resource.RLIMIT_AS, (self.memory, self.memory))
@@ -94,7 +99,7 @@
         with contextlib.suppress(PermissionError):
             os.setpriority(os.PRIO_PROCESS, self.process.pid, nice)
         self.neighbour = subprocess.Popen([sys.executable, "-S", "-c", BURN], preexec_fn=lambda: (
-            LIBC.prctl(DIES_WITH_PARENT, signal.SIGKILL, 0, 0, 0), os.sched_setaffinity(0, {core})))
+            die_with_parent(), os.sched_setaffinity(0, {core})))
         self.history.note(self.name, "squeezed", nice=nice, core=core)
 
     def loosen(self, cores: set[int]) -> None:
--- a/tests/stage/test_relays.py
+++ b/tests/stage/test_relays.py
@@ -137,7 +137,6 @@
     """What two balancers hear of what each sends the other."""
     async def run() -> list[list[bytes]]:
         n, heard, ways = net(), [[], []], Ways(())
-        n.prefix += f"{next(NUMBERS) % 5}"[:0]
         post = Post(ways, n, 2, seed=5)
         await post.open()
         if fault:
