Let balancers do work together: bans for all, a turnstile, probe shards, Consul's client

Cause: what concerns the whole fleet was done by everybody or by nobody. glenrock/fleet gains holdings (all claims of a process in one call), the board of bans, tickets, words of probes, a file of what was seen, datagrams, and a client of Consul beside the store of one machine; the stage gains the store's stand-in, operators, strikes, and the judge's rules for them. Off without the operator's file.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -29,6 +30,9 @@
 from .net.pace import Pace
 from .net.peers import Peers
 
+if TYPE_CHECKING:
+    from .fleet.agent import Fleet
+
 FIRST_LIST_MS = 300.0  # the whole list is awaited this long before clients are; then the known one must do
 
 
@@ -62,6 +66,19 @@
             program.run(self.agreement.watch())
 
 
+def together(program: Program) -> Fleet:
+    """The fleet's work, from the operator's file. Imported only where that is named."""
+    try:
+        from .fleet.agent import Fleet
+
+        fleet = Fleet(program, program.config.fleet)
+    except ModuleNotFoundError as bad:
+        raise ConfigError(f"fleet: {bad.name} is not installed: pip install 'glenrock[fleet]'") from None
+    if program.operators:
+        program.operators.operations.fleet = fleet
+    return fleet
+
+
 class Program:
     """All parts, wired. Tests start it too, with a clock of their own."""
 
@@ -85,6 +102,7 @@
             self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post,
                                config.settings.balancers, config.accept_fd is not None)
             self.decider.tell = self.peers.tell
+        self.fleet = together(self) if config.fleet else None
         self.tasks: set[asyncio.Task] = set()
         self.inherited = self.taker = self.neighbours = None
         if config.accept_fd is not None:
@@ -112,6 +130,8 @@
             self.server.others = self.neighbours.descriptors()
         if self.operators:
             self.operators.start(self)
+        if self.fleet:
+            self.fleet.start()
         self.table.remember(self.config.known)
         self.run(self.decider.run())
         self.run(self.table.run())
@@ -157,6 +177,8 @@
             from .upgrade.handover import Giver
 
             successor = Giver(self.config.folder, self.clock, self.taker.inode)
+        if self.fleet:
+            self.run(self.fleet.stop())
         await self.leaving.stop(self.inherited is not None, successor)
         if self.neighbours:
             self.neighbours.leave()
--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from wheatrouter.hand import avoided
 
 from ..net.command_server import CommandServer
@@ -11,6 +13,9 @@
 from ..upgrade.agreement import Agreement
 from .figures import Figures
 
+if TYPE_CHECKING:
+    from ..fleet.agent import Fleet
+
 
 class Operations:
     def __init__(self, decider: Decider, instances: Instances, server: CommandServer, leaving: Leaving,
@@ -18,6 +23,7 @@
         self.decider, self.instances, self.server = decider, instances, server
         self.leaving, self.agreement = leaving, agreement
         self.serves = False  # clients are taken
+        self.fleet: Fleet | None = None  # what balancers do together, where the operator's file says so
 
     def ready(self) -> str:
         return self.leaving.why() if self.serves else "not ready: clients are not taken yet"
@@ -31,13 +37,27 @@
         return self.agreement.knows(name)
 
     async def suspend(self, name: str) -> str:
-        return await self.agreement.call(name, True)
+        return await self.by_hand(name, True)
 
     async def resume(self, name: str) -> str:
-        return await self.agreement.call(name, False)
+        return await self.by_hand(name, False)
 
-    def drain(self) -> str:
+    async def by_hand(self, name: str, out: bool) -> str:
+        if self.fleet and self.fleet.bans:
+            return await self.fleet.bans.by_hand(name, out)
+        return await self.agreement.call(name, out)
+
+    async def drain(self) -> str:
+        turnstile = self.fleet.turnstile if self.fleet else None
+        if turnstile and (why := await turnstile.take()):
+            return why
         return self.leaving.by_hand()
 
-    def activate(self) -> str:
-        return self.leaving.back()
+    async def activate(self) -> str:
+        why = self.leaving.back()
+        if self.fleet and self.fleet.turnstile and not why:
+            self.fleet.turnstile.give_back()
+        return why
+
+    def together(self) -> str:
+        return self.fleet.view() if self.fleet else ""
--- a/glenrock/admin/routes.py
+++ b/glenrock/admin/routes.py
@@ -20,11 +20,18 @@
     def listed(self, name: str) -> bool: ...  # now or ever
     async def suspend(self, name: str) -> str: ...
     async def resume(self, name: str) -> str: ...
-    def drain(self) -> str: ...
-    def activate(self) -> str: ...
+    async def drain(self) -> str: ...
+    async def activate(self) -> str: ...
+    def together(self) -> str: ...  # what balancers do together, as JSON; empty where that is off
+
+
+class Later(str):
+    """Why it is not done everywhere yet, though it is here, and will be."""
 
 
 def said(reason: str, done: str, status: int = 503) -> Answer:
+    if isinstance(reason, Later):
+        return Answer(202, reason + "\n")
     return Answer(status, reason + "\n") if reason else Answer(200, done + "\n")
 
 
@@ -37,16 +44,22 @@
 
 
 async def drain(ops: Operations) -> Answer:
-    return said(ops.drain(), "clients are sent away")
+    return said(await ops.drain(), "clients are sent away")
 
 
 async def activate(ops: Operations) -> Answer:
-    return said(ops.activate(), "takes clients")
+    return said(await ops.activate(), "takes clients")
+
+
+async def together(ops: Operations) -> Answer:
+    view = ops.together()
+    return Answer(200, view + "\n", "application/json") if view else Answer(404, "no such path\n")
 
 
 PLAIN: dict[str, tuple[str, Callable[[Operations], Awaitable[Answer]]]] = {
     "/v1/readyz": ("GET", readyz),
     "/v1/metrics": ("GET", metrics),
+    "/v1/fleet": ("GET", together),
     "/v1/balancer/drain": ("POST", drain),
     "/v1/balancer/activate": ("POST", activate),
 }
--- a/glenrock/config.py
+++ b/glenrock/config.py
@@ -1,6 +1,6 @@
 """The one place where configuration is read, checked and given defaults.
 
-LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_ADMIN win over it. The file
+LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN, LB_DISCOVERY, LB_ADMIN and LB_FLEET win over it. The file
 may be read again while the program runs: then a key that it has changed wins over the variable.
 """
 
@@ -38,12 +38,14 @@
     peers_all: Address | None
     admin: Address | None = None  # where operators call; absent, nobody listens
     accept_fd: int | None = None  # the clients' listening socket, where the platform holds it
+    fleet: str = ""  # the operator's file on what balancers do together; absent, nothing of it is loaded
     folder: str = ""  # $TMPDIR: what a successor must know stands there
     filed: Mapping[str, Any] = field(default_factory=dict)  # of VARIABLES, what the file itself says
 
 
-VARIABLES = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY", "admin": "LB_ADMIN"}
-AT_START = ("name", "listen", "admin", "peer_listen", "settings", "measures_delay")  # not taken over live
+VARIABLES = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY", "admin": "LB_ADMIN",
+             "fleet": "LB_FLEET"}
+AT_START = ("name", "listen", "admin", "fleet", "peer_listen", "settings", "measures_delay")  # not taken over live
 
 
 def address_of(value: Any, key: str) -> Address:
@@ -119,4 +121,4 @@
         peer_listen=address_of(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(address_of(p, "peers") for p in typed(raw, "peers", list, [])),
         peers_all=address_of(peers_all, "peers_all") if peers_all else None,
-        admin=address_of(admin, "admin") if admin else None)
+        admin=address_of(admin, "admin") if admin else None, fleet=typed(raw, "fleet", str, ""))
--- /dev/null
+++ b/glenrock/fleet/bans.py
@@ -0,0 +1,263 @@
+"""Bans for all: an operator's word at one balancer reaches every one, in one order, and is never lost."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from wheatrouter import interface as io
+
+from ..admin.routes import Later
+from ..log import say
+from . import wire
+from .jobs.board import NONE, Telling, wish_of, word_of
+from .jobs.board import Word as OneWord
+from .ownership.claim import Began
+from .ownership.sqlite_store import boottime_us
+from .ownership.store import StoreDown
+
+if TYPE_CHECKING:
+    from .agent import Fleet
+
+JOB = "bans"
+MARK_S = 1.0
+WATCH_S = 10.0
+TURN_S = 0.04
+CONFIRM_MS = 1000.0  # an operator waits so long for the word to be numbered
+
+
+class Bans:
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.board = fleet, fleet.board
+        self.telling = Telling()
+        self.count = self.sent = 0
+        self.posted: set[str] = set()
+        self.ready = False  # owner, and all records read
+        self.number = 0  # of records, in this term
+        self.asked_all: tuple[int, int] | None = None  # digests when all was asked for last
+        self.dirty = False
+        self.replies: list[tuple[int, wire.Message]] = []
+        self.changes: dict[str, bool] = {}
+        self.applied: dict[str, bool] = {}
+        self.waiting: list[Callable[[], None]] = []
+        fleet.hands.update({wire.Mark: self.on_mark, wire.Say: self.on_say, wire.Want: self.on_want,
+                            wire.Taken: self.on_taken})
+        fleet.on_event.append(self.on_event)
+        self.news = asyncio.Event()
+        self.due = asyncio.Event()
+
+    def start(self) -> None:
+        self.apply(dict.fromkeys(self.board.words, False) | {s: True for s in self.board.words if self.board.out(s)})
+        for work in (self.follow, self.own, self.post):
+            self.fleet.run(work())
+
+    # -- the operator ----------------------------------------------------------------------------------
+
+    async def by_hand(self, server: str, out: bool) -> str:
+        """Out, or back, for all. Returns why not; `Later` where it holds here and the others hear it later."""
+        self.count += 1
+        id_ = f"{self.fleet.holder}/{self.count}"
+        self.board.wish(id_, server, out)
+        if not self.fleet.write():
+            self.board.wishes.pop(id_, None)
+            return "not done: what must not be forgotten cannot be written"
+        await self.carry_out(server, out)
+        self.news.set()
+        until = self.fleet.clock.now() + CONFIRM_MS
+        while id_ in self.board.wishes and self.fleet.clock.now() < until:
+            await self.fleet.clock.sleep(10.0)
+        if id_ in self.board.wishes:
+            return Later("done here and kept; the other balancers hear of it once the store answers: "
+                         f"{self.fleet.store_says or 'no owner has numbered it yet'}")
+        return ""
+
+    async def carry_out(self, server: str, out: bool) -> None:
+        operators, p = self.fleet.program.operators, self.fleet.program
+        self.applied[server] = out
+        if operators:
+            if wrong := await operators.agreement.call(server, out):
+                say("fleet", f"{server}: {wrong}")
+        else:
+            p.instances.hold(server, out)
+            p.decider.order(io.ByHand(server, out, 0))
+
+    def apply(self, changes: dict[str, bool]) -> None:
+        async def all_of_them() -> None:
+            for server, out in changes.items():
+                if self.applied.get(server, False) != out or out:
+                    await self.carry_out(server, out)
+
+        self.fleet.run(all_of_them())
+
+    # -- the store -------------------------------------------------------------------------------------
+
+    async def follow(self) -> None:
+        """Records as the store has them, and what the owner is asked for, as they change."""
+        while True:
+            try:
+                await self.read_records()
+                if self.fleet.holds(JOB) is not None:
+                    self.due.set()
+                await self.fleet.store.changed(WATCH_S)
+            except StoreDown as bad:
+                self.fleet.down(bad)
+                await asyncio.sleep(0.5)
+
+    async def read_records(self) -> None:
+        for server, r in (await self.fleet.store.records(JOB)).items():
+            if word := word_of(r.value, (r.term, r.number)):
+                self.take(server, word)
+        self.settle()
+
+    def take(self, server: str, word: OneWord) -> None:
+        changed = self.board.take(server, word)
+        if changed is not None:
+            self.changes[server] = changed
+        self.dirty = True
+
+    def settle(self) -> None:
+        """Written down, then carried out, then answered."""
+        if not self.dirty and not self.replies:
+            return
+        replies, self.replies = self.replies, []
+        if self.dirty and not self.fleet.write():
+            return
+        self.dirty = False
+        changes, self.changes = self.changes, {}
+        if changes:
+            say("fleet", ", ".join(f"{s} {'out' if out else 'back'}" for s, out in changes.items()))
+            self.apply(changes)
+        for peer, m in replies:
+            self.fleet.send(peer, m)
+
+    async def post(self) -> None:
+        """This balancer's wishes go to the store, however long that takes."""
+        while True:
+            self.news.clear()
+            for id_, w in list(self.board.wishes.items()):
+                if id_ in self.posted:
+                    continue
+                try:
+                    await self.fleet.store.post(JOB, id_, w.value())
+                except StoreDown as bad:
+                    self.fleet.down(bad)
+                    break
+                self.posted.add(id_)
+                self.due.set()  # a store does not tell us of our own change
+            self.posted &= self.board.wishes.keys()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.news.wait(), 0.5)
+
+    # -- the owner -------------------------------------------------------------------------------------
+
+    def on_event(self, job: str, e: Any) -> None:
+        if job == JOB:
+            self.ready, self.number = False, 0
+            self.telling.clear()
+            if isinstance(e, Began):
+                self.due.set()
+
+    async def own(self) -> None:
+        marked = 0.0
+        loop = asyncio.get_running_loop()
+        while True:
+            term = self.fleet.holds(JOB)
+            if term is not None:
+                self.fleet.holdings.went_round(JOB, boottime_us())
+                if self.due.is_set():
+                    self.due.clear()
+                    try:
+                        await self.number_wishes(term)
+                    except StoreDown as bad:
+                        self.fleet.down(bad)
+                if self.ready:
+                    if loop.time() - marked >= MARK_S:
+                        marked = loop.time()
+                        self.mark()
+                    self.say_again()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.due.wait(), TURN_S if term is not None else 0.2)
+
+    async def number_wishes(self, term: int) -> None:
+        """Record first, in the name of the term; only then is anybody told."""
+        if not self.ready:
+            await self.read_records()
+            self.fence_own(term)
+            self.ready = True
+            self.mark()
+        for id_, value in (await self.fleet.store.wishes(JOB)).items():
+            wish = wish_of(value)
+            if self.fleet.holds(JOB) != term:
+                return
+            if wish is None:
+                say("fleet", f"a wish that cannot be read is left aside: {value!r:.100}")
+                continue
+            self.number += 1
+            word = OneWord(wish.out, (term, self.number), id_)
+            if not await self.fleet.store.put(JOB, term, self.number, wish.server, word.value(), id_):
+                say("fleet", f"the store refused a record of term {term}")
+                self.fleet.look_now.set()
+                return
+            self.take(wish.server, word)
+            self.settle()
+            for peer in self.fleet.roster.heard:
+                self.telling.add(peer, wish.server, word.revision, boottime_us())
+        self.say_again()
+
+    def fence_own(self, term: int) -> None:
+        """An owner is a receiver too: it takes nothing of a lower term any more."""
+        self.fleet.fence.hear(JOB, term)
+        self.fleet.write()
+
+    def mark(self) -> None:
+        for peer in self.fleet.roster.heard:
+            term = self.fleet.holds(JOB)
+            if term is not None:
+                self.fleet.send(peer, wire.Mark(JOB, term, self.board.digest))
+
+    def say_again(self) -> None:
+        for peer, server in self.telling.due(boottime_us()):
+            word, term = self.board.words.get(server), self.fleet.holds(JOB)
+            if word is None or term is None:
+                return
+            self.sent += 1
+            self.fleet.send(peer, wire.Say(JOB, term, self.sent, word.revision, word.out, server))
+
+    def on_want(self, peer: int, m: wire.Want) -> None:
+        if self.fleet.holds(JOB) is not None and self.ready:
+            for server, word in self.board.after(NONE if m.all else m.upto):
+                self.telling.add(peer, server, word.revision, boottime_us())
+            self.due.set()
+
+    def on_taken(self, peer: int, m: wire.Taken) -> None:
+        if m.ok:
+            self.telling.got(peer, m.server, m.revision)
+        elif m.seen > (self.fleet.holds(JOB) or m.seen):
+            self.fleet.told(self.fleet.holdings.refused(JOB, boottime_us(), m.seen))
+
+    # -- a receiver ------------------------------------------------------------------------------------
+
+    def on_mark(self, peer: int, m: wire.Mark) -> None:
+        before = self.fleet.fence.seen.get(m.job)
+        taken = self.fleet.fence.hear(m.job, m.term)
+        if not taken.ok:
+            self.fleet.refuse(peer, m.job, m.term, taken)
+            self.replies.append((peer, wire.Taken(m.job, False, taken.seen, m.term, 0, NONE, "-")))
+            return
+        self.dirty |= self.fleet.fence.seen.get(m.job) != before
+        if m.digest != self.board.digest:
+            # Up to the last that is known first; where that did not help, a word in between was missed.
+            pair = (m.digest, self.board.digest)
+            self.replies.append((peer, wire.Want(m.job, m.term, self.board.last, self.asked_all == pair)))
+            self.asked_all = pair
+
+    def on_say(self, peer: int, m: wire.Say) -> None:
+        taken = self.fleet.fence.take(m.job, m.term, m.number)
+        if taken.ok:
+            self.take(m.server, OneWord(m.out, m.revision))
+            self.dirty = True
+        else:
+            self.fleet.refuse(peer, m.job, m.term, taken)
+        self.replies.append((peer, wire.Taken(m.job, taken.ok, taken.seen, m.term, m.number, m.revision, m.server)))
--- /dev/null
+++ b/glenrock/fleet/kept.py
@@ -0,0 +1,95 @@
+"""What a balancer must know after its own restart: terms it has seen, words it has taken, its operator's wishes.
+
+One file for each balancer, replaced as a whole before what it says is carried out. Two processes of one name, in an
+upgrade, share it: under a lock each takes over what the other has written, and marks only grow.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import json
+import os
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from .jobs.board import Board, Word, wish_of
+from .ownership.fence import Fence
+
+VERSION = 1
+LARGEST = 8 << 20  # bytes
+
+
+class Kept:
+    def __init__(self, folder: Path, name: str) -> None:
+        self.path = folder / f"glenrock-{name}.fleet.json"
+        self.signature: tuple[int, int, int] | None = None
+        self.tickets: dict[str, tuple[str, int]] = {}  # job: holder and term of a ticket that may still be out
+
+    def read(self, fence: Fence, board: Board) -> bool:
+        """Takes over what stands there; True where there was a sound file. ValueError says what is wrong with it."""
+        try:
+            with open(self.path, "rb") as file:
+                self.signature = self.stamp(file.fileno())
+                data = file.read(LARGEST + 1)
+        except FileNotFoundError:
+            return False
+        except OSError as bad:
+            raise ValueError(str(bad)) from None
+        raw: Any = json.loads(data) if len(data) <= LARGEST else None
+        if not isinstance(raw, dict) or raw.get("version") != VERSION:
+            raise ValueError(f"not of version {VERSION}")
+        try:
+            seen = {str(job): (int(term), int(number)) for job, (term, number) in raw["seen"].items()}
+            words = {str(s): Word(bool(out), (int(term), int(number))) for s, (out, term, number) in raw["words"].items()}
+            wishes = {str(i): wish_of(json.dumps(w)) for i, w in raw["wishes"].items()}
+            tickets = {str(job): (str(holder), int(term)) for job, (holder, term) in raw["tickets"].items()}
+        except (KeyError, TypeError, ValueError, AttributeError) as bad:
+            raise ValueError(f"not what it should be: {bad!r}") from None
+        fence.learned(seen)
+        for server, word in words.items():
+            board.take(server, word)
+        for id_, wish in wishes.items():
+            if wish and id_ not in board.wishes:
+                board.wish(id_, wish.server, wish.out)
+        self.tickets.update(tickets)
+        return True
+
+    def stamp(self, fd: int) -> tuple[int, int, int]:
+        s = os.fstat(fd)
+        return s.st_mtime_ns, s.st_ino, s.st_size
+
+    @contextlib.contextmanager
+    def locked(self) -> Iterator[None]:
+        with open(self.path.with_suffix(".lock"), "wb") as file:
+            fcntl.flock(file, fcntl.LOCK_EX)
+            yield
+
+    def write(self, fence: Fence, board: Board) -> None:
+        """OSError where it cannot be written: then what it would say must not be carried out."""
+        with self.locked():
+            with contextlib.suppress(OSError, ValueError):
+                found = os.stat(self.path)
+                if (found.st_mtime_ns, found.st_ino, found.st_size) != self.signature:
+                    self.merge(fence, board)
+            raw = {"version": VERSION, "seen": fence.seen, "tickets": self.tickets,
+                   "words": {s: [w.out, *w.revision] for s, w in board.words.items()},
+                   "wishes": {i: {"server": w.server, "out": w.out} for i, w in board.wishes.items()}}
+            beside = self.path.with_suffix(f".{os.getpid()}")
+            with open(beside, "wb") as file:
+                file.write(json.dumps(raw).encode())
+                file.flush()
+                self.signature = self.stamp(file.fileno())
+            os.replace(beside, self.path)
+
+    def merge(self, fence: Fence, board: Board) -> None:
+        """What the other process of this name has written meanwhile; its wishes are its own to post."""
+        other, theirs = Fence(), Board()
+        before = dict(self.tickets)
+        self.read(other, theirs)
+        self.tickets = before
+        for job, mark in other.seen.items():
+            fence.seen[job] = max(fence.seen.get(job, (0, 0)), mark)
+        for server, word in theirs.words.items():
+            board.take(server, word)
--- a/glenrock/fleet/ownership/fence.py
+++ b/glenrock/fleet/ownership/fence.py
@@ -48,3 +48,13 @@
             return Taken(False, at, why)
         self.seen[job] = (term, number)
         return Taken(True, term)
+
+    def hear(self, job: str, term: int) -> Taken:
+        """An owner's word that it owns, without an effect: a higher term closes the door to all lower ones."""
+        at, _ = self.seen.get(job, (0, 0))
+        if self.known and term >= at:
+            if term > at:
+                self.seen[job] = (term, 0)
+            return Taken(True, term)
+        self.refused += 1
+        return Taken(False, at, f"term {term} is past, {at} was seen" if self.known else "not known yet")
--- a/glenrock/fleet/ownership/sqlite_store.py
+++ b/glenrock/fleet/ownership/sqlite_store.py
@@ -2,16 +2,23 @@
 
 One file; every call is one IMMEDIATE transaction, so that processes wait for each other and a killed one leaves nothing
 half done. Leases run on CLOCK_BOOTTIME, one clock for all processes of a machine, which goes on through a suspend;
-those of an earlier boot are void. Calls block for up to `PATIENCE_S`: from a loop they belong in a thread.
+those of an earlier boot are void. Calls block for up to `PATIENCE_S`: `LocalStore` makes them in a thread.
 """
 
 from __future__ import annotations
 
+import asyncio
 import sqlite3
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import TypeVar
+
+from .claim import Ask
+from .store import Lease, Past, Record, StoreDown
+
+T = TypeVar("T")
 
 PATIENCE_S = 1.0
 BOOT = Path("/proc/sys/kernel/random/boot_id")
@@ -20,18 +27,12 @@
                                   boot TEXT NOT NULL, request INTEGER NOT NULL);
 CREATE TABLE IF NOT EXISTS record (job TEXT, key TEXT, value TEXT NOT NULL, term INTEGER NOT NULL,
                                    number INTEGER NOT NULL, PRIMARY KEY (job, key));
+CREATE TABLE IF NOT EXISTS wish (job TEXT, key TEXT, value TEXT NOT NULL, PRIMARY KEY (job, key));
+CREATE TABLE IF NOT EXISTS past (job TEXT, term INTEGER, holder TEXT NOT NULL, at REAL NOT NULL,
+                                 PRIMARY KEY (job, term));
 """
-
-
-class StoreDown(Exception):
-    """The store could not be asked. What was asked may have counted."""
-
-
-@dataclass(frozen=True, slots=True)
-class Lease:
-    holder: str  # empty: nobody
-    term: int
-    left_us: int
+KEPT = 50  # past terms of a job
+LOOK_S = 0.05  # between two looks whether the file has changed: a read of shared memory
 
 
 def boottime_us() -> int:
@@ -90,52 +91,143 @@
         act in a term that the store has put aside or given back (found by `explore`). So each holder's requests are
         numbered and taken in order, and a holder's name is one life's own.
         """
-        with self as db:
-            now = self.now()
-            held, term, until, last = self.row(db, job)
-            if held == holder and request <= last:
-                return 0
-            # A lease that ran out is free after the lock delay; one that was given back ends at 0.
-            if held and held != holder and until and now < until + self.lock_delay:
-                return 0
-            term = max(term, floor) + 1
-            self.write(db, job, holder, request, term, now + lease_us)
-            return term
+        return self.batch(holder, [(job, Ask(request, "acquire", 0, floor))], lease_us)[job]
 
     def renew(self, job: str, holder: str, request: int, term: int, lease_us: int) -> int:
         """The same term, or 0: a lease that has run out is not brought back to life."""
+        return self.batch(holder, [(job, Ask(request, "renew", term, 0))], lease_us)[job]
+
+    def release(self, job: str, holder: str, request: int, term: int) -> None:
+        self.batch(holder, [(job, Ask(request, "release", term, 0))], 0)
+
+    def batch(self, holder: str, asks: Iterable[tuple[str, Ask]], lease_us: int) -> dict[str, int]:
+        """All of one process's requests in one transaction. By job, the term granted or 0."""
         with self as db:
-            now = self.now()
-            held, at, until, last = self.row(db, job)
-            if (held, at) != (holder, term) or now >= until or request <= last:
+            return {job: self.one(db, job, holder, a, lease_us) for job, a in asks}
+
+    def one(self, db: sqlite3.Connection, job: str, holder: str, a: Ask, lease_us: int) -> int:
+        now = self.now()
+        held, term, until, last = self.row(db, job)
+        if held == holder and a.request <= last:
+            return 0
+        if a.kind == "acquire":
+            # A lease that ran out is free after the lock delay; one that was given back ends at 0.
+            if held and held != holder and until and now < until + self.lock_delay:
                 return 0
-            self.write(db, job, holder, request, term, now + lease_us)
+            term = max(term, a.floor) + 1
+            self.write(db, job, holder, a.request, term, now + lease_us)
+            db.execute("INSERT OR REPLACE INTO past VALUES (?, ?, ?, ?)", (job, term, holder, time.time()))
+            db.execute("DELETE FROM past WHERE job = ? AND term <= ?", (job, term - KEPT))
             return term
+        if (held, term) != (holder, a.term) or a.kind == "renew" and now >= until:
+            return 0
+        self.write(db, job, holder, a.request, term, now + lease_us if a.kind == "renew" else 0)
+        return term if a.kind == "renew" else 0
 
-    def release(self, job: str, holder: str, request: int, term: int) -> None:
+    def free(self, job: str, holder: str, term: int) -> None:
         with self as db:
-            held, at, _, last = self.row(db, job)
-            if (held, at) == (holder, term) and request > last:
-                self.write(db, job, holder, request, term, 0)
+            held, at, until, last = self.row(db, job)
+            if (held, at) == (holder, term) and until:
+                self.write(db, job, holder, last + 1, term, 0)
 
     def lease(self, job: str) -> Lease:
-        with self as db:
-            held, term, until, _ = self.row(db, job)
-            left = until - self.now()
-            return Lease(held if left > 0 else "", term, max(0, left))
+        return self.leases([job])[job]
 
-    def put(self, job: str, holder: str, term: int, number: int, key: str, value: str) -> bool:
+    def leases(self, jobs: Iterable[str] = ()) -> dict[str, Lease]:
+        """Of these jobs, or of all that were ever held."""
+        with self as db:
+            now, found = self.now(), {}
+            for job in list(jobs) or [row[0] for row in db.execute("SELECT job FROM lease")]:
+                held, term, until, _ = self.row(db, job)
+                left = until - now
+                found[job] = Lease(held if left > 0 else "", term, max(0, left))
+            return found
+
+    def put(self, job: str, holder: str, term: int, number: int, key: str, value: str, wish: str = "") -> bool:
         """Writes a record in the name of a term. Refused once that term is not the job's any more."""
         with self as db:
             held, at, until, _ = self.row(db, job)
             if (held, at) != (holder, term) or self.now() >= until:
                 return False
             db.execute("INSERT OR REPLACE INTO record VALUES (?, ?, ?, ?, ?)", (job, key, value, term, number))
+            db.execute("DELETE FROM wish WHERE job = ? AND key = ?", (job, wish))
             return True
 
-    def records(self, job: str) -> dict[str, tuple[str, int, int]]:
-        """Each key with its value, term and number."""
+    def records(self, job: str) -> dict[str, Record]:
         with self as db:
             found = db.execute(
                 "SELECT key, value, term, number FROM record WHERE job = ? ORDER BY term, number", (job,))
-            return {key: (value, term, number) for key, value, term, number in found}
+            return {key: Record(value, term, number) for key, value, term, number in found}
+
+    def post(self, job: str, wish: str, value: str) -> None:
+        with self as db:
+            db.execute("INSERT OR REPLACE INTO wish VALUES (?, ?, ?)", (job, wish, value))
+
+    def wishes(self, job: str) -> dict[str, str]:
+        with self as db:
+            return dict(db.execute("SELECT key, value FROM wish WHERE job = ? ORDER BY rowid", (job,)).fetchall())
+
+    def past(self, job: str) -> list[Past]:
+        with self as db:
+            found = db.execute("SELECT term, holder, at FROM past WHERE job = ? ORDER BY term", (job,))
+            return [Past(*row) for row in found]
+
+
+class LocalStore:
+    """A `SqliteStore` behind the interface of all stores: one thread, so that its calls keep their order."""
+
+    def __init__(self, path: Path, holder: str, lock_delay_us: int = 0) -> None:
+        self.path, self.holder, self.lock_delay = path, holder, lock_delay_us
+        self.thread = ThreadPoolExecutor(1, "glenrock-store")
+        self.inner: SqliteStore | None = None
+        self.version = -1
+
+    async def call(self, work: Callable[[SqliteStore], T]) -> T:
+        def inside() -> T:
+            if self.inner is None:
+                self.inner = SqliteStore(self.path, self.lock_delay)
+            return work(self.inner)
+
+        return await asyncio.get_running_loop().run_in_executor(self.thread, inside)
+
+    async def ask(self, asks: Sequence[tuple[str, Ask]], lease_us: int) -> dict[str, int]:
+        return await self.call(lambda s: s.batch(self.holder, asks, lease_us))
+
+    async def leases(self, jobs: Sequence[str] = ()) -> dict[str, Lease]:
+        return await self.call(lambda s: s.leases(jobs))
+
+    async def put(self, job: str, term: int, number: int, key: str, value: str, wish: str = "") -> bool:
+        return await self.call(lambda s: s.put(job, self.holder, term, number, key, value, wish))
+
+    async def records(self, job: str) -> dict[str, Record]:
+        return await self.call(lambda s: s.records(job))
+
+    async def post(self, job: str, wish: str, value: str) -> None:
+        await self.call(lambda s: s.post(job, wish, value))
+
+    async def wishes(self, job: str) -> dict[str, str]:
+        return await self.call(lambda s: s.wishes(job))
+
+    async def free(self, job: str, holder: str, term: int) -> None:
+        await self.call(lambda s: s.free(job, holder, term))
+
+    async def past(self, job: str) -> list[Past]:
+        return await self.call(lambda s: s.past(job))
+
+    async def changed(self, wait_s: float) -> None:
+        """The file's version as this connection sees it; a write of our own does not change it."""
+        until = asyncio.get_running_loop().time() + wait_s
+        while asyncio.get_running_loop().time() < until:
+            version = await self.call(lambda s: int(s.db.execute("PRAGMA data_version").fetchone()[0]))
+            if version != self.version:
+                self.version = version
+                return
+            await asyncio.sleep(LOOK_S)
+
+    async def close(self) -> None:
+        def shut() -> None:
+            if self.inner is not None:
+                self.inner.close()
+
+        await asyncio.get_running_loop().run_in_executor(self.thread, shut)
+        self.thread.shutdown(wait=False)
--- a/glenrock/net/peers.py
+++ b/glenrock/net/peers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 from ..log import say
 
 LONGEST = 256
+NO_SUMMARY = b"\xf1"  # a summary begins with its version
 AT_ONCE = 64  # datagrams read in one turn: a flood must not keep the loop from its connections
 
 
@@ -22,6 +24,7 @@
     def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
                  post: Callable[[io.Event], bool], balancers: int, shared: bool = False) -> None:
         self.post, self.balancers = post, balancers
+        self.others: Callable[[int, bytes], None] | None = None  # what is no summary, where the fleet's work is on
         self.index: dict[Address, int] = {}
         self.move(peers, everyone)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -45,6 +48,7 @@
             if self.index:
                 return
         self.index, self.peers, self.everyone = index, tuple(index), everyone
+        self.by_number = {n: address for address, n in index.items()}
 
     def receive(self) -> None:
         for _ in range(AT_ONCE):
@@ -57,9 +61,18 @@
             peer = self.index.get(sender)
             if peer is None or len(data) > LONGEST:
                 say("peer", f"datagram of {len(data)} bytes from {sender} ignored")
-            else:
+                continue
+            if self.others:
+                self.others(peer, data)
+            if not self.others or data[:1] < NO_SUMMARY:
                 self.post(io.PeerMessage(peer, data))
 
+    def tell_one(self, peer: int, data: bytes) -> None:
+        """For the fleet's work. Lost without a word, as datagrams are: who needs an answer asks again."""
+        if address := self.by_number.get(peer):
+            with contextlib.suppress(OSError):
+                self.sock.sendto(data, address)
+
     def tell(self, data: bytes) -> None:
         if len(data) > LONGEST:
             say("peer", f"a message of {len(data)} bytes was not sent")
--- a/glenrock/stage/faults.py
+++ b/glenrock/stage/faults.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+import sqlite3
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any
+
+import msgspec
 
 from ..lab.spec_faults import Fault, fault_name
 from . import spec, ways
@@ -147,11 +151,70 @@
 
         await self.lasting(f, lambda: be(f.how), lambda: be(""), "list")
 
+    # -- what balancers do together ------------------------------------------------------------------
+
+    async def store_fault(self, f: spec.StoreFault, number: int) -> None:
+        together = self.stage.together
+        assert together
+        consul = together.consul
+        if consul is None:  # a file: whoever holds it is waited for
+            with contextlib.closing(sqlite3.connect(together.path, isolation_level=None)) as db:
+                await self.lasting(f, lambda: db.execute("BEGIN IMMEDIATE"), lambda: db.execute("ROLLBACK"), "store")
+            return
+        if f.how in ("rollback", "stale"):
+            consul.keep()
+
+        def be(on: bool) -> None:
+            consul.paused, consul.refuses = on and f.how in ("paused", "restart"), on and f.how == "refuses"
+            consul.loses, consul.stale = on and f.how == "loses", on and f.how == "stale"
+            consul.slow_s = float(f.call_ms) / 1000 if on and f.how == "slow" else 0.0
+            if not on and f.how in ("restart", "rollback"):
+                consul.restart(back=f.how == "rollback")
+
+        await self.lasting(f, lambda: be(True), lambda: be(False), "store")
+
+    async def ban(self, f: spec.Ban, number: int) -> None:
+        instance = f.instance if f.instance >= 0 else self.draw.randrange(len(self.stage.instances))
+        assert self.stage.together
+        await self.stage.together.ban(number, instance, f.out)
+
+    async def ticket(self, f: spec.Ticket, number: int) -> None:
+        assert self.stage.together
+        await self.stage.together.ticket(number, float(f.for_s))
+
+    async def strikes(self, f: spec.Strikes, number: int) -> None:
+        """Each by itself, and several at once; one that a balancer is struck by already strikes another."""
+        loop, draw, lease = asyncio.get_running_loop(), self.draw, float(self.stage.scene.together.lease_ms) / 1000
+        end = loop.time() + float(f.for_s)
+        while loop.time() < end:
+            free = [b.number for b in self.stage.balancers if b.up and not b.paused
+                    and not any(b.name in s.parties and s.kind in ("pause", "kill") for s in self.on)]
+            kind = draw.choice(f.kinds)
+            if len(free) > 1:
+                one, other = draw.sample(free, 2)
+                if kind == "pause":
+                    for_s = lease * (draw.uniform(0.95, 1.05) if draw.random() < 0.5 else draw.uniform(0.02, 2.0))
+                    await self.beside(self.pause(spec.Pause(at_s=0.0, balancer=one, for_s=for_s), one))
+                elif kind == "kill":
+                    await self.beside(self.kill(spec.Kill(at_s=0.0, balancer=one, down_s=draw.uniform(0.05, 1.0)), one))
+                else:
+                    target = "store" if kind == "store_cut" else f"balancer:{other}"
+                    ends = (f"balancer:{one}", target)
+                    late = 0.0 if kind != "late" else lease * 1500
+                    way = spec.Way(at_s=0.0, source=ends[draw.random() < 0.5], target="", for_s=lease * draw.uniform(
+                        0.2, 2.0), cut=kind != "late", delay_ms=late)
+                    way = msgspec.structs.replace(way, target=ends[way.source == ends[0]])
+                    await self.beside(self.way(way, -1))
+            await asyncio.sleep(float(f.each_ms) / 1000 * draw.uniform(0.5, 1.5))
+
+    async def beside(self, fault: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.get_running_loop().create_task(fault))
+
     # -- ways ------------------------------------------------------------------------------------------
 
     async def way(self, f: spec.Way, number: int) -> None:
         stage = self.stage
-        every = ["clients", "list", *(b.name for b in stage.balancers), *(s.party for s in stage.instances)]
+        every = ["clients", "list", "store", *(b.name for b in stage.balancers), *(s.party for s in stage.instances)]
         struck = {p for p in every for q in every if ways.strikes(f, p, q) or ways.strikes(f, q, p)}
         datagrams = struck <= {b.name for b in stage.balancers}
         # What balancers tell each other is no part of any rule: losing it excuses nothing.
--- a/glenrock/stage/front.py
+++ b/glenrock/stage/front.py
@@ -35,6 +35,8 @@
         loop = asyncio.get_running_loop()
         while True:
             answer = await self.ping(number)
+            if answer == b"ERR":
+                self.history.note("front", "away", balancer=number)
             if answer == b"PONG":
                 self.heard[number] = loop.time()
                 if number not in self.known:
--- a/glenrock/stage/judge.py
+++ b/glenrock/stage/judge.py
@@ -25,6 +25,8 @@
 
     drain_grace_ms: float
     answer_grace_ms: float = 0.0
+    tickets: int = 0  # balancers drained by hand at a time; 0: not counted
+    apart: tuple[str, ...] = ()  # at the end, who says another thing than the rest of what is done together
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +159,10 @@
                             "cut_off": cut_off}
 
 
+def register(checks: dict[str, Check]) -> None:
+    CHECKS.update(checks)
+
+
 def judge(h: History, figures: Figures) -> Verdict:
     v = Verdict()
     for check in CHECKS.values():
--- a/glenrock/stage/net.py
+++ b/glenrock/stage/net.py
@@ -31,6 +31,9 @@
     def peer(self, n: int) -> Address:
         return f"{self.prefix}.{1 + n}", 8081
 
+    def admin(self, n: int) -> Address:
+        return f"{self.prefix}.{1 + n}", 8082
+
     def next(self) -> Address:
         """An address that nobody has had in this run."""
         self.ports += 1
--- a/glenrock/stage/relays.py
+++ b/glenrock/stage/relays.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections import deque
+from collections.abc import Callable
 
 from .net import Address, Listener, Net, cut_off
 from .ways import State, Ways
@@ -131,6 +132,7 @@
         self.addresses: dict[tuple[int, int], Address] = {}
         self.late: dict[tuple[int, int], deque[bytes]] = {}
         self.carried = self.lost = 0
+        self.seen: Callable[[int, int, bytes], None] | None = None  # hears of each that was sent
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -148,6 +150,8 @@
         return [f"{host}:{port}" for host, port in listed]
 
     def carry(self, sender: int, receiver: int, data: bytes) -> None:
+        if self.seen:
+            self.seen(sender, receiver, data)
         state = self.ways.of(f"balancer:{sender}", f"balancer:{receiver}")
         if state.cut or state.reset or self.draw.random() < state.loss:
             self.lost += 1
--- a/glenrock/stage/run.py
+++ b/glenrock/stage/run.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..lab import spec as lab
 from ..lab.measure import Measure, rounded, told
@@ -18,6 +18,7 @@
 from ..lab.model.plan import Row
 from ..lab.streams import Streams
 from . import config, judge
+from . import judge_together as judged
 from .clients import Clients
 from .faults import Faults
 from .front import Front
@@ -27,10 +28,14 @@
 from .net import Address, LoopEngine, Net
 from .processes import Balancer
 from .relays import Post, TcpRelay
-from .spec import Scene, Way
+from .spec import Scene, Strikes, Way
 from .ways import Ways
 
+if TYPE_CHECKING:
+    from .together import Together
+
 STANDING_S = 40.0  # those that stood before the run are up again within this
+AGREE_S = 10.0  # after the last fault all say the same of what is done together
 END_S = 2.0  # after the day: answers that are still due
 
 
@@ -54,11 +59,15 @@
         self.length_s = float(scene.length_s)
         self.measure = Measure(scene, self.plan.asked, 0, len(self.shapes))
         self.rows: dict[str, Row] = {}
-        self.ways = Ways(tuple(f for f in scene.faults if isinstance(f, Way)))
+        planned = tuple(f for f in scene.faults if isinstance(f, Way))
+        if any(isinstance(f, Strikes) and "store_cut" in f.kinds for f in scene.faults):
+            planned += (Way(at_s=0.0, source="balancer:*", target="store", cut=True),)  # which of them is drawn later
+        self.ways = Ways(planned)
         self.relays: list[TcpRelay] = []
         self.balancers: list[Balancer] = []
         self.began = False
         self.cpu: dict[int, float] = {}
+        self.apart: list[str] = []
 
     # -- bringing up ---------------------------------------------------------------------------------
 
@@ -86,6 +95,11 @@
         self.front = Front(fronts, float(scene.front.notice_s), r.admit_s, self.history, self.seed)
         self.clients = Clients(scene, self.plan.rows, self.front, fronts, Habits(scene.clients, self.streams),
                                self.engine, self.history, self.rows, self.measure.counts, self.measure.waits)
+        self.together: Together | None = None
+        if scene.together.store:
+            from .together import Together  # aiohttp is loaded here
+
+            self.together = Together(self)
         self.faults = Faults(self, random.Random(self.seed))
 
     def way(self, source: str, target: str, onward: Address) -> Address:
@@ -108,13 +122,15 @@
                 "seed": f"{self.seed * 1000 + n:x}", "limits": {"sockets": self.scene.rig.sockets},
                 "settings": config.settings(told, tuple(t.name for t in self.scene.tenants)),
                 "peer_listen": f"{peer[0]}:{peer[1]}", "peers": self.post.peers_of(n),
-                "known": self.listing.answer(n, None)}
+                "known": self.listing.answer(n, None), **(self.together.config(n) if self.together else {})}
 
     async def open(self) -> None:
         for s in self.instances:
             s.begin()
         self.listing.open()
         await self.post.open()
+        if self.together:
+            await self.together.open()
         for n in range(self.count):
             self.balancers.append(Balancer(n, self.folder / f"balancer-{n}", self.config(n), self.history,
                                            self.scene.rig.memory_mb))
@@ -161,10 +177,15 @@
             self.began = False
             await asyncio.sleep(END_S)
             self.cpu = {b.number: b.cpu_s() for b in self.balancers}
+            if self.together:
+                self.apart = await self.together.agree(AGREE_S)
         finally:
             self.end()
-        verdict = judge.judge(self.history, judge.Figures(self.scene.rules.drain_grace_ms,
-                                                          self.scene.rules.answer_grace_ms))
+            if self.together:
+                await self.together.close()
+        figures = judge.Figures(self.scene.rules.drain_grace_ms, self.scene.rules.answer_grace_ms,
+                                self.scene.together.turnstile, tuple(self.apart))
+        verdict = judge.judge(self.history, figures)
         return self.summary(verdict, time.monotonic() - wall, time.process_time() - cpu)
 
     def second(self, n: int) -> None:
@@ -235,6 +256,7 @@
                       "capacity_cores": rounded(self.plan.capacity / S), "clients_per_s": rounded(self.plan.per_s)},
             "processes": {b.name: {"lives": b.lives, "cpu_s": rounded(self.cpu.get(b.number, 0.0))}
                           for b in self.balancers},
+            **({"together": judged.figures(self.history)} if self.together else {}),
             "clock": {"wall_s": round(wall_s, 3), "cpu_s": round(cpu_s, 3), "cores": os.cpu_count() or 1,
                       "events": len(self.history.events)}}
 
--- a/glenrock/stage/spec.py
+++ b/glenrock/stage/spec.py
@@ -14,7 +14,7 @@
 from ..lab.spec_types import Above0R, Least0R, PartR, Strict
 from ..toml_file import BadFile, fault
 
-Party = Annotated[str, Meta(pattern=r"^(clients|list|(balancer|instance):(\*|[0-9]{1,4}))$")]
+Party = Annotated[str, Meta(pattern=r"^(clients|list|store|(balancer|instance):(\*|[0-9]{1,4}))$")]
 Number = Annotated[int, Meta(ge=-1)]  # -1: drawn anew for each seed
 MOST_BALANCERS, MOST_INSTANCES = 200, 90  # each has an address of its own in one net
 
@@ -91,7 +91,54 @@
     reset: bool = False
 
 
-AnyFault = Kill | Stop | Pause | Squeeze | InstanceKill | Drain | ListFault | Way
+class StoreFault(Fault):
+    """The coordination store is paused, refuses, is slow, restarts after `for_s`, goes back to what it was at
+    `at_s`, does what it is asked without an answer, or answers reads that are not consistent with old ones."""
+
+    how: Literal["paused", "refuses", "slow", "restart", "rollback", "loses", "stale"] = "paused"
+    for_s: Above0R = 3.0
+    call_ms: Above0R = 500.0
+
+
+class Ban(Fault):
+    """No fault: an operator takes an instance out, or calls it back, at one balancer."""
+
+    balancer: Number = -1
+    instance: Number = -1
+    out: bool = True
+
+
+class Ticket(Fault):
+    """No fault: an operator drains a balancer, and calls it back after `for_s`."""
+
+    balancer: Number = -1
+    for_s: Above0R = 2.0
+
+
+class Strikes(Fault):
+    """For `for_s`, each `each_ms`, one of `kinds` at a drawn balancer: a pause of 0.02 to 2 leases, half of them round a
+    lease's end; a kill; a cut of its words, or of its way to the store, in one direction; words late by over a lease."""
+
+    for_s: Above0R = 10.0
+    each_ms: Above0R = 200.0
+    kinds: tuple[Literal["pause", "kill", "cut", "store_cut", "late"], ...] = ("pause", "kill", "cut", "late")
+
+
+class Together(Strict):
+    """What balancers do together; without a store, nothing."""
+
+    store: Literal["", "sqlite", "consul"] = ""
+    lease_ms: Above0R = 1000.0
+    drift: Least0R = 0.02
+    ask_ms: Above0R = 300.0
+    lock_delay_ms: Least0R = 0.0
+    late: Annotated[float, Meta(ge=1, le=2)] = 1.0  # a TTL's length at the store, as a multiple of what it says
+    bans: bool = True
+    turnstile: Annotated[int, Meta(ge=0)] = 1
+    probe_shards: bool = False
+
+
+AnyFault = Kill | Stop | Pause | Squeeze | InstanceKill | Drain | ListFault | Way | StoreFault | Ban | Ticket | Strikes
 
 
 class Rig(Strict):
@@ -111,6 +158,7 @@
 
     faults: tuple[AnyFault, ...] = ()  # type: ignore[assignment]
     rig: Rig = Rig()
+    together: Together = Together()
 
 
 def load(path: Path, overrides: dict[str, Any] | None = None) -> Scene:
@@ -139,15 +187,18 @@
         for kind, count in counts.items():
             number = getattr(f, kind, -1)
             need(number < count, f"faults[{n}].{kind}", f"there is no {kind} {number} on every day")
+        need(bool(e.together.store) or not isinstance(f, WANTS_STORE), f"faults[{n}]", "[together] names no store")
         if isinstance(f, Way):
             for end in ("source", "target"):
                 kind, _, which = getattr(f, end).partition(":")
                 need(not which or which == "*" or int(which) < counts[kind], f"faults[{n}].{end}",
                      f"there is no {kind} {which} on every day")
             ends = {re.sub(":.*", "", f.source), re.sub(":.*", "", f.target)}
-            need(ends in WAYS, f"faults[{n}]", f"nothing goes from {f.source} to {f.target}")
+            need(ends in WAYS and ("store" not in ends or e.together.store == "consul"), f"faults[{n}]",
+                 f"nothing goes from {f.source} to {f.target}")
 
 
-WAYS = ({"clients", "balancer"}, {"balancer", "instance"}, {"balancer", "list"}, {"balancer"})
+WAYS = ({"clients", "balancer"}, {"balancer", "instance"}, {"balancer", "list"}, {"balancer", "store"}, {"balancer"})
+WANTS_STORE = (StoreFault, Ban, Ticket, Strikes)
 
 __all__ = ["BadFile", "Scene", "check", "load"]
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -17,7 +17,8 @@
 from glenrock.fleet.ownership.claim import Ask, Began, Claim, Ended, Rules
 from glenrock.fleet.ownership.explore import Explorer
 from glenrock.fleet.ownership.fence import Fence
-from glenrock.fleet.ownership.sqlite_store import SqliteStore, StoreDown
+from glenrock.fleet.ownership.sqlite_store import SqliteStore
+from glenrock.fleet.ownership.store import Record, StoreDown
 
 R = Rules(lease=1000, drift=0.1, ask_within=300, again=50, wary=200)
 OWN = R.own
@@ -150,7 +151,7 @@
     assert s.renew("job", "a", 3, 1, 1000) == 0 and not s.put("job", "a", 1, 2, "k", "late")
     assert s.acquire("job", "b", 3, 1000, floor=5) == 6
     s.release("job", "a", 4, 1)
-    assert s.lease("job").holder == "b" and s.records("job") == {"k": ("old", 1, 1)}
+    assert s.lease("job").holder == "b" and s.records("job") == {"k": Record("old", 1, 1)}
     s.release("job", "b", 4, 6)
     assert s.acquire("job", "a", 5, 1000) == 7, "given back: nobody waits"
     other = SqliteStore(tmp_path / "s", now=clock, boot="two")
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -42,15 +42,19 @@
         self.calls.append(("back", name))
         return self.why
 
-    def drain(self) -> str:
+    async def drain(self) -> str:
         self.calls.append("drain")
         return self.why
 
-    def activate(self) -> str:
+    async def activate(self) -> str:
         self.calls.append("activate")
         return self.why
 
 
+    def together(self) -> str:
+        return ""
+
+
 def call(ops: Asked, method: str, target: str) -> Answer:
     return asyncio.run(answer(ops, method, target.encode()))
 
