Number an operator's words by the life that posts them; explore claims and fences to the end

The owner now records up to which wish of each life it has numbered. Ruled out: datagrams and the order of words (boards and digests were the same). A loop that did not wait while another owned took half a core: mended.

--- a/glenrock/config.py
+++ b/glenrock/config.py
@@ -1,7 +1,7 @@
 """The one place where configuration is read, checked and given defaults.
 
-LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN, LB_DISCOVERY, LB_ADMIN and LB_FLEET win over it. The file
-may be read again while the program runs: then a key that it has changed wins over the variable.
+LB_CONFIG names a JSON file with everything; LB_NAME, LB_LISTEN, LB_DISCOVERY, LB_ADMIN and LB_FLEET win over it. The
+file may be read again while the program runs: then a key that it has changed wins over the variable.
 """
 
 from __future__ import annotations
--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -1,7 +1,7 @@
-"""The fleet's work at one balancer: its store, its claims, its datagrams. One actor; the parts that do the jobs hang on it.
+"""The fleet's work at one balancer: its store, its claims, its datagrams. The parts that do the jobs hang on it.
 
-Loaded only where the operator's file is named. Nothing that clients wait for waits for it: with the store gone the balancer
-serves on, and jobs rest.
+Loaded only where the operator's file is named. Nothing that clients wait for waits for it: with the store gone the
+balancer serves on, and jobs rest.
 """
 
 from __future__ import annotations
--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from wheatrouter import interface as io
@@ -12,7 +11,7 @@
 from ..admin.routes import Later
 from ..log import say
 from . import wire
-from .jobs.board import NONE, Telling, wish_of, word_of
+from .jobs.board import NONE, Telling, life_key, parted, wish_of, word_of
 from .jobs.board import Word as OneWord
 from .ownership.claim import Began
 from .ownership.sqlite_store import boottime_us
@@ -24,7 +23,7 @@
 JOB = "bans"
 MARK_S = 1.0
 WATCH_S = 10.0
-TURN_S = 0.04
+TURN_S, IDLE_S = 0.04, 0.2  # an owner's round, and others'
 CONFIRM_MS = 1000.0  # an operator waits so long for the word to be numbered
 
 
@@ -41,7 +40,7 @@
         self.replies: list[tuple[int, wire.Message]] = []
         self.changes: dict[str, bool] = {}
         self.applied: dict[str, bool] = {}
-        self.waiting: list[Callable[[], None]] = []
+        self.lives: dict[str, int] = {}  # up to which wish each has been answered
         fleet.hands.update({wire.Mark: self.on_mark, wire.Say: self.on_say, wire.Want: self.on_want,
                             wire.Taken: self.on_taken})
         fleet.on_event.append(self.on_event)
@@ -58,7 +57,7 @@
     async def by_hand(self, server: str, out: bool) -> str:
         """Out, or back, for all. Returns why not; `Later` where it holds here and the others hear it later."""
         self.count += 1
-        id_ = f"{self.fleet.holder}/{self.count}"
+        id_ = f"{self.fleet.holder}#{self.count}"
         self.board.wish(id_, server, out)
         if not self.fleet.write():
             self.board.wishes.pop(id_, None)
@@ -106,16 +105,24 @@
                 await asyncio.sleep(0.5)
 
     async def read_records(self) -> None:
-        for server, r in (await self.fleet.store.records(JOB)).items():
-            if word := word_of(r.value, (r.term, r.number)):
-                self.take(server, word)
+        for key, r in (await self.fleet.store.records(JOB)).items():
+            if key[:1] == "\n":
+                self.numbered(key[1:], int(r.value) if r.value.isdecimal() else 0)
+            elif word := word_of(r.value, (r.term, r.number)):
+                self.take(key, word)
         self.settle()
 
+    def numbered(self, life: str, count: int) -> None:
+        self.lives[life] = max(count, self.lives.get(life, 0))
+        before = len(self.board.wishes)
+        self.changes.update(self.board.numbered(life, count))
+        self.dirty |= len(self.board.wishes) != before
+
     def take(self, server: str, word: OneWord) -> None:
         changed = self.board.take(server, word)
         if changed is not None:
             self.changes[server] = changed
-        self.dirty = True
+        self.dirty |= self.board.words.get(server) == word
 
     def settle(self) -> None:
         """Written down, then carried out, then answered."""
@@ -177,8 +184,10 @@
                         marked = loop.time()
                         self.mark()
                     self.say_again()
+            else:
+                self.due.clear()  # what a new owner finds to do it asks the store for
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.due.wait(), TURN_S if term is not None else 0.2)
+                await asyncio.wait_for(self.due.wait(), TURN_S if term is not None else IDLE_S)
 
     async def number_wishes(self, term: int) -> None:
         """Record first, in the name of the term; only then is anybody told."""
@@ -195,12 +204,18 @@
                 say("fleet", f"a wish that cannot be read is left aside: {value!r:.100}")
                 continue
             self.number += 1
-            word = OneWord(wish.out, (term, self.number), id_)
-            if not await self.fleet.store.put(JOB, term, self.number, wish.server, word.value(), id_):
+            word = OneWord(wish.out, (term, self.number))
+            life, count = parted(id_)
+            again = count <= self.lives.get(life, 0)  # posted again, though it had counted
+            records = {} if again else {wish.server: word.value(), life_key(life): str(count)}
+            if not await self.fleet.store.put(JOB, term, self.number, records, id_):
                 say("fleet", f"the store refused a record of term {term}")
                 self.fleet.look_now.set()
                 return
+            if again:
+                continue
             self.take(wish.server, word)
+            self.numbered(life, count)
             self.settle()
             for peer in self.fleet.roster.heard:
                 self.telling.add(peer, wish.server, word.revision, boottime_us())
--- a/glenrock/fleet/config.py
+++ b/glenrock/fleet/config.py
@@ -1,4 +1,4 @@
-"""The operator's file: what balancers do together. Read only where a configuration names it; nothing is on without it."""
+"""The operator's file: what balancers do together. Read only where a configuration names it."""
 
 from __future__ import annotations
 
--- a/glenrock/fleet/jobs/board.py
+++ b/glenrock/fleet/jobs/board.py
@@ -1,8 +1,12 @@
 """Servers out of rotation by hand, the same at every balancer. Pure.
 
 Each server has the word with the highest revision (term, number), given by the owner when it wrote the word into the
-store. Words may come twice, late and in any order, by the store or by datagrams: the outcome is the same. What an operator
-said here and the owner has not numbered yet holds here meanwhile, whatever older words say.
+store. Words may come twice, late and in any order, by the store or by datagrams: the outcome is the same. What an
+operator said here and the owner has not numbered yet holds here meanwhile, whatever older words say.
+
+A wish is named by the life of the balancer that posts it and counted there, and the owner records up to which it has
+numbered each life's. Danger: a wish that is posted again, since nobody knew that it had counted, would undo what was
+said since; and whose word was followed by another before its poster saw it would stand at the poster for ever.
 """
 
 from __future__ import annotations
@@ -22,20 +26,19 @@
 class Word:
     out: bool
     revision: Revision
-    wish: str = ""  # that it answers
 
     def value(self) -> str:
-        return json.dumps({"out": self.out, "wish": self.wish})
+        return json.dumps({"out": self.out})
 
 
 def word_of(value: str, revision: Revision) -> Word | None:
     """None for anything that is no word."""
     try:
         raw = json.loads(value)
-        out, wish = raw["out"], raw["wish"]
+        out = raw["out"]
     except (ValueError, KeyError, TypeError):
         return None
-    return Word(out, revision, wish) if isinstance(out, bool) and isinstance(wish, str) else None
+    return Word(out, revision) if isinstance(out, bool) else None
 
 
 @dataclass(slots=True)
@@ -59,6 +62,17 @@
     return Wish(server, out) if sound else None
 
 
+def parted(id_: str) -> tuple[str, int]:
+    """The life that a wish is of, and its number there; 0 for what is none of ours."""
+    life, _, count = id_.rpartition("#")
+    return life, int(count) if count.isdecimal() and len(count) < 19 else 0
+
+
+def life_key(life: str) -> str:
+    """The record that tells up to which wish a life has been answered; no server has such a name."""
+    return f"\n{life}"
+
+
 @dataclass(slots=True)
 class Board:
     words: dict[str, Word] = field(default_factory=dict)
@@ -77,10 +91,20 @@
         self.digest ^= hashed(server, *word.revision)
         self.words[server] = word
         self.last = max(self.last, word.revision)
-        self.wishes.pop(word.wish, None)
         after = self.out(server)
         return after if after != before else None
 
+    def numbered(self, life: str, count: int) -> dict[str, bool]:
+        """The owner has answered a life's wishes up to that one: the servers that change by it."""
+        changes = {}
+        for id_ in [i for i in self.wishes if parted(i)[0] == life and parted(i)[1] <= count]:
+            server = self.wishes[id_].server
+            before = self.out(server)
+            del self.wishes[id_]
+            if self.out(server) != before:
+                changes[server] = not before
+        return changes
+
     def wish(self, id_: str, server: str, out: bool) -> None:
         for old in [i for i, w in self.wishes.items() if w.server == server]:
             del self.wishes[old]  # what was said last counts
@@ -102,7 +126,8 @@
 class Telling:
     """The owner's side: which peers lack which words. `due` spaces what is sent again."""
 
-    out: dict[tuple[int, str], tuple[Revision, int]] = field(default_factory=dict)  # (peer, server): what, sent again at
+    # (peer, server): what, and when it is sent again
+    out: dict[tuple[int, str], tuple[Revision, int]] = field(default_factory=dict)
     tries: dict[tuple[int, str], int] = field(default_factory=dict)
 
     AGAIN_US = 80_000  # after the first time, then twice as long each: words take up to 33 ms, and half may be lost
--- a/glenrock/fleet/jobs/words.py
+++ b/glenrock/fleet/jobs/words.py
@@ -1,8 +1,9 @@
 """Probe shards: each server is probed by one balancer, and its word goes to the rest. Pure.
 
-The share of a server is the first of those heard lately, in its rendezvous order. Two that believe they have one probe it
-twice, and nobody where the one who has it is cut off: so there is no term here, and where no word is fresh a balancer
-probes as without shards. Only loads are told: who can't reach a server must find out alone, a link may be cut for one.
+The share of a server is the first of those heard lately, in its rendezvous order. Two that believe they have one
+probe it twice, and nobody where the one who has it is cut off: so there is no term here, and where no word is fresh a
+balancer probes as without shards. Only loads are told: who can't reach a server must find out alone, a link may be
+cut for one.
 """
 
 from __future__ import annotations
--- a/glenrock/fleet/kept.py
+++ b/glenrock/fleet/kept.py
@@ -42,7 +42,8 @@
             raise ValueError(f"not of version {VERSION}")
         try:
             seen = {str(job): (int(term), int(number)) for job, (term, number) in raw["seen"].items()}
-            words = {str(s): Word(bool(out), (int(term), int(number))) for s, (out, term, number) in raw["words"].items()}
+            words = {str(s): Word(bool(out), (int(term), int(number)))
+                     for s, (out, term, number) in raw["words"].items()}
             wishes = {str(i): wish_of(json.dumps(w)) for i, w in raw["wishes"].items()}
             tickets = {str(job): (str(holder), int(term)) for job, (holder, term) in raw["tickets"].items()}
         except (KeyError, TypeError, ValueError, AttributeError) as bad:
--- a/glenrock/fleet/ownership/consul_store.py
+++ b/glenrock/fleet/ownership/consul_store.py
@@ -1,8 +1,9 @@
 """The store of several machines: Consul, by its published HTTP API (sessions, KV, transactions, blocking queries).
 
-`PREFIX/jobs/JOB` is the lock of a job; its value holds the term, who holds it and the terms before. A term is told out of
-one transaction that checks the lock's index and takes it, so of two that read the same state one is refused, and a call that
-was given up and comes late changes nothing. `PREFIX/work/JOB/record/KEY` and `.../wish/KEY` are records and wishes.
+`PREFIX/jobs/JOB` is the lock of a job; its value holds the term, who holds it and the terms before. A term is told
+out of one transaction that checks the lock's index and takes it, so of two that read the same state one is refused,
+and a call that was given up and comes late changes nothing. `PREFIX/work/JOB/record/KEY` and `.../wish/KEY` are
+records and wishes.
 
 A session lives at least its TTL from when the store took the last renewal, or longer: a holder counts from before it
 asked. A session that lives proves no lock (an operator may have taken it away), so renewals check each lock's index.
@@ -15,7 +16,7 @@
 import json
 import re
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -216,14 +217,15 @@
 
     # -- records and wishes ----------------------------------------------------------------------------
 
-    async def put(self, job: str, term: int, number: int, key: str, value: str, wish: str = "") -> bool:
+    async def put(self, job: str, term: int, number: int, values: Mapping[str, str], wish: str = "") -> bool:
         held, index = self.held.get(job, (0, 0))
         if held != term or not self.session:
             return False
         operations = [{"Verb": "check-session", "Key": self.lock(job), "Session": self.session},
-                      {"Verb": "check-index", "Key": self.lock(job), "Index": index},
-                      {"Verb": "set", "Key": self.work(job, "record", key),
-                       "Value": packed({"value": value, "term": term, "number": number})}]
+                      {"Verb": "check-index", "Key": self.lock(job), "Index": index}]
+        operations += [{"Verb": "set", "Key": self.work(job, "record", key),
+                        "Value": packed({"value": value, "term": term, "number": number})}
+                       for key, value in values.items()]
         if wish:
             operations.append({"Verb": "delete", "Key": self.work(job, "wish", wish)})
         _, failed = await self.transaction(operations)
--- a/glenrock/fleet/ownership/explore.py
+++ b/glenrock/fleet/ownership/explore.py
@@ -55,8 +55,8 @@
                        fences=[replace(f, seen=dict(f.seen)) for f in self.fences])
 
     def key(self) -> tuple[Any, ...]:
-        """The same for states from which the same can happen: times count from each candidate's now, requests from
-        its last one."""
+        """The same for states from which the same can happen: times count from each candidate's now, and of request
+        numbers only their order among those that still play a part."""
         mine = []
         for n, c in enumerate(self.claims):
             now, owner = self.clocks[n], c.state == "owner"
@@ -64,11 +64,17 @@
                          max(-1, c.until - now) if owner else 0, c.kind,
                          min(LEASE, now - c.sent_at) if c.kind or owner else 0, max(0, c.next_at - now), c.floor,
                          self.slipped[n]))
-        wire = tuple(sorted((m[0], m[1], self.claims[m[1]].request - m[2], *m[3:]) if m[0] in ("ask", "answer") else m
+        order = []
+        for n, c in enumerate(self.claims):
+            numbers = {c.request, *(m[2] for m in self.wire if m[0] in ("ask", "answer") and m[1] == n)}
+            if n == self.holder:
+                numbers.add(self.last)
+            order.append(sorted(numbers, reverse=True))
+        wire = tuple(sorted((m[0], m[1], order[m[1]].index(m[2]), *m[3:]) if m[0] in ("ask", "answer") else m
                             for m in self.wire))
         return (tuple(mine), tuple((f.known, f.seen.get(JOB, (0, 0))[0]) for f in self.fences), tuple(self.marks),
                 self.holder, self.term, self.left,
-                self.claims[self.holder].request - self.last if self.holder >= 0 else 0, wire, self.restarts)
+                order[self.holder].index(self.last) if self.holder >= 0 else 0, wire, self.restarts)
 
 
 @dataclass(frozen=True, slots=True)
--- a/glenrock/fleet/ownership/holdings.py
+++ b/glenrock/fleet/ownership/holdings.py
@@ -1,8 +1,8 @@
 """All claims of one process: which jobs it asks for and when, in as few calls as can be. Pure.
 
 Times are microseconds on the process's own clock, as in `claim`. Renewals of all jobs go together. A job seen free is
-asked for by the first in its order of members at once and by each next a step later, so that hundreds do not ask for the
-same; the order is for cost alone, terms come from the store.
+asked for by the first in its order of members at once and by each next a step later, so that hundreds do not ask for
+the same; the order is for cost alone, terms come from the store.
 """
 
 from __future__ import annotations
--- a/glenrock/fleet/ownership/sqlite_store.py
+++ b/glenrock/fleet/ownership/sqlite_store.py
@@ -10,7 +10,7 @@
 import asyncio
 import sqlite3
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import TypeVar
@@ -143,13 +143,14 @@
                 found[job] = Lease(held if left > 0 else "", term, max(0, left))
             return found
 
-    def put(self, job: str, holder: str, term: int, number: int, key: str, value: str, wish: str = "") -> bool:
-        """Writes a record in the name of a term. Refused once that term is not the job's any more."""
+    def put(self, job: str, holder: str, term: int, number: int, values: Mapping[str, str], wish: str = "") -> bool:
+        """Writes records in the name of a term. Refused once that term is not the job's any more."""
         with self as db:
             held, at, until, _ = self.row(db, job)
             if (held, at) != (holder, term) or self.now() >= until:
                 return False
-            db.execute("INSERT OR REPLACE INTO record VALUES (?, ?, ?, ?, ?)", (job, key, value, term, number))
+            db.executemany("INSERT OR REPLACE INTO record VALUES (?, ?, ?, ?, ?)",
+                           [(job, key, value, term, number) for key, value in values.items()])
             db.execute("DELETE FROM wish WHERE job = ? AND key = ?", (job, wish))
             return True
 
@@ -196,8 +197,8 @@
     async def leases(self, jobs: Sequence[str] = ()) -> dict[str, Lease]:
         return await self.call(lambda s: s.leases(jobs))
 
-    async def put(self, job: str, term: int, number: int, key: str, value: str, wish: str = "") -> bool:
-        return await self.call(lambda s: s.put(job, self.holder, term, number, key, value, wish))
+    async def put(self, job: str, term: int, number: int, values: Mapping[str, str], wish: str = "") -> bool:
+        return await self.call(lambda s: s.put(job, self.holder, term, number, values, wish))
 
     async def records(self, job: str) -> dict[str, Record]:
         return await self.call(lambda s: s.records(job))
--- a/glenrock/fleet/ownership/store.py
+++ b/glenrock/fleet/ownership/store.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -54,8 +54,9 @@
         """Of these jobs; without, of all that were ever held."""
         ...
 
-    async def put(self, job: str, term: int, number: int, key: str, value: str, wish: str = "") -> bool:
-        """Writes a record in the name of a term that this holder holds now, and takes the wish away with it."""
+    async def put(self, job: str, term: int, number: int, values: Mapping[str, str], wish: str = "") -> bool:
+        """Writes records by their keys in the name of a term that this holder holds now, and takes the wish away with
+        them; all of it or nothing."""
         ...
 
     async def records(self, job: str) -> dict[str, Record]: ...
--- a/glenrock/fleet/probing.py
+++ b/glenrock/fleet/probing.py
@@ -1,4 +1,4 @@
-"""Probes by shards: this balancer asks its share and tells the rest; the module hears of each as of a probe of its own."""
+"""Probes by shards: this balancer asks its share and tells the rest; to the module each is a probe."""
 
 from __future__ import annotations
 
--- a/glenrock/fleet/wire.py
+++ b/glenrock/fleet/wire.py
@@ -1,7 +1,7 @@
 """Datagrams of the fleet's work, within 256 bytes, beside the summaries on the same socket. Pure.
 
-The first byte tells the kind; a summary begins with its version, 1. Whole numbers big-endian; `decode` takes nothing that
-is cut, longer than it says, or of a kind that is not known.
+The first byte tells the kind; a summary begins with its version, 1. Whole numbers big-endian; `decode` takes nothing
+that is cut, longer than it says, or of a kind that is not known.
 """
 
 from __future__ import annotations
--- a/glenrock/stage/consul.py
+++ b/glenrock/stage/consul.py
@@ -172,7 +172,8 @@
     def keep(self) -> None:
         """A snapshot, to be rolled back to."""
         s = self.state
-        self.snapshots.append(State(s.now, s.late, s.index, dict(s.entries), dict(s.sessions), dict(s.delayed), dict(s.gone)))
+        self.snapshots.append(replace(s, entries=dict(s.entries), sessions=dict(s.sessions), delayed=dict(s.delayed),
+                                      gone=dict(s.gone)))
 
     def restart(self, back: bool = False) -> None:
         """As a new leader: each TTL begins anew. `back`: with what stood in the last snapshot."""
--- a/glenrock/stage/faults.py
+++ b/glenrock/stage/faults.py
@@ -29,6 +29,7 @@
         self.stage, self.draw = stage, draw
         self.tasks: list[asyncio.Task[None]] = []
         self.on: list[Spell] = []
+        self.out: dict[int, None] = {}  # by operators, longest first
         self.cores = os.sched_getaffinity(0)
 
     def begin(self) -> None:
@@ -192,7 +193,11 @@
             kind = draw.choice(f.kinds)
             if len(free) > 1:
                 one, other = draw.sample(free, 2)
-                if kind == "pause":
+                if kind == "ban":
+                    await self.beside(self.change_hands(one))
+                elif kind == "ticket":
+                    await self.beside(self.ticket(spec.Ticket(at_s=0.0, for_s=lease), one))
+                elif kind == "pause":
                     for_s = lease * (draw.uniform(0.95, 1.05) if draw.random() < 0.5 else draw.uniform(0.02, 2.0))
                     await self.beside(self.pause(spec.Pause(at_s=0.0, balancer=one, for_s=for_s), one))
                 elif kind == "kill":
@@ -207,6 +212,18 @@
                     await self.beside(self.way(way, -1))
             await asyncio.sleep(float(f.each_ms) / 1000 * draw.uniform(0.5, 1.5))
 
+    async def change_hands(self, balancer: int) -> None:
+        """An operator takes an instance out, or calls back the one that has been out longest."""
+        assert self.stage.together
+        n, count = self.draw.randrange(len(self.stage.instances)), len(self.stage.instances)
+        if n not in self.out and len(self.out) < max(1, count // 4):
+            self.out[n] = None
+            await self.stage.together.ban(balancer, n, True)
+        elif self.out:
+            n = next(iter(self.out))
+            del self.out[n]
+            await self.stage.together.ban(balancer, n, False)
+
     async def beside(self, fault: Coroutine[Any, Any, None]) -> None:
         self.tasks.append(asyncio.get_running_loop().create_task(fault))
 
--- a/glenrock/stage/judge_together.py
+++ b/glenrock/stage/judge_together.py
@@ -43,8 +43,9 @@
             spells[-1] = spells[-1][0], e.at
         else:
             spells.append((e.at, e.at))
-    edges = sorted((at, step, n) for n, spells in away.items() for begin, end in spells
-                   for at, step in ((begin, 1), (end, -1)))
+    # Within one instant who comes is counted before who goes: a spell of one look has both.
+    edges = sorted(((at, step, n) for n, spells in away.items() for begin, end in spells
+                   for at, step in ((begin, 1), (end, -1))), key=lambda edge: (edge[0], -edge[1]))
     v.seen["tickets"] += len(edges) // 2
     out: set[int] = set()
     for at, step, n in edges:
--- a/glenrock/stage/spec.py
+++ b/glenrock/stage/spec.py
@@ -115,13 +115,18 @@
     for_s: Above0R = 2.0
 
 
+Strike = Literal["pause", "kill", "cut", "store_cut", "late", "ban", "ticket"]
+
+
 class Strikes(Fault):
-    """For `for_s`, each `each_ms`, one of `kinds` at a drawn balancer: a pause of 0.02 to 2 leases, half of them round a
-    lease's end; a kill; a cut of its words, or of its way to the store, in one direction; words late by over a lease."""
+    """For `for_s`, each `each_ms`, one of `kinds` at a drawn balancer: a pause of 0.02 to 2 leases, half of them
+    round a lease's end; a kill; a cut of its words, or of its way to the store, in one direction; words late by over
+    a lease.
+    `ban` and `ticket` are operators at work meanwhile: an instance out, or back; a balancer drained for a lease."""
 
     for_s: Above0R = 10.0
     each_ms: Above0R = 200.0
-    kinds: tuple[Literal["pause", "kill", "cut", "store_cut", "late"], ...] = ("pause", "kill", "cut", "late")
+    kinds: tuple[Strike, ...] = ("pause", "kill", "cut", "late")
 
 
 class Together(Strict):
--- a/glenrock/stage/together.py
+++ b/glenrock/stage/together.py
@@ -1,7 +1,7 @@
-"""The stage's side of the fleet's work: the store, each balancer's operator's file, operators, and what crossed the wire.
+"""The stage's side of the fleet's work: the store, each balancer's operator's file, operators, the wire.
 
-The judge reads terms from the store itself, effects from the datagrams that receivers answer with, drains from the front's
-PING, and bans from the lines that instances get: not from what a balancer says of itself.
+The judge reads terms from the store itself, effects from the datagrams that receivers answer with, drains from the
+front's PING, and bans from the lines that instances get: not from what a balancer says of itself.
 """
 
 from __future__ import annotations
@@ -10,7 +10,6 @@
 import contextlib
 import json
 import sqlite3
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -144,11 +144,11 @@
     clock = Clock()
     s = SqliteStore(tmp_path / "s", now=clock, boot="one")
     assert s.acquire("job", "a", 1, 1000) == 1 and s.acquire("job", "b", 1, 1000) == 0
-    assert s.put("job", "a", 1, 1, "k", "old") and not s.put("job", "b", 1, 1, "k", "x")
+    assert s.put("job", "a", 1, 1, {"k": "old"}) and not s.put("job", "b", 1, 1, {"k": "x"})
     clock.now += 999
     assert s.renew("job", "a", 2, 1, 1000) == 1 and s.acquire("job", "b", 2, 1000) == 0
     clock.now += 1000
-    assert s.renew("job", "a", 3, 1, 1000) == 0 and not s.put("job", "a", 1, 2, "k", "late")
+    assert s.renew("job", "a", 3, 1, 1000) == 0 and not s.put("job", "a", 1, 2, {"k": "late"})
     assert s.acquire("job", "b", 3, 1000, floor=5) == 6
     s.release("job", "a", 4, 1)
     assert s.lease("job").holder == "b" and s.records("job") == {"k": Record("old", 1, 1)}
@@ -211,7 +211,7 @@
     if (term := claim.holds(boottime_us())) is not None:
         number += 1
         time.sleep(0.004)  # between check and write lies time in which a process may be stopped
-        ok = store.put("job", name, term, number, f"{name} {number} {until}", name)
+        ok = store.put("job", name, term, number, {f"{name} {number} {until}": name})
         out.write(f"{boottime_us()} {name} {term} {number} {int(ok)}\\n")
     time.sleep(0.002)
 """
