Tell a store that went back in time what was said; prove a drain's ticket before each answer

Seen on the stage, 1,103 strikes over 3, 5, 8 and 12 processes: (1) after a rollback of the store, balancers that had heard a word and those that had restarted since said different things for ever: a new owner now asks for a term above all it has seen itself, is told by others what the store forgot, and records it again; (2) one that woke after its ticket's end answered PING as drained for 14 ms, until its clock was looked at: the ticket is proven before each answer; (3) a process asleep within a transaction held up what others read: reading has a connection of its own and takes no lock. Ruled out for (1): order of words, datagrams lost (store and datagrams give the same board). A judge's fault: a spell of one look was counted for ever. Bounds count from when the operator was answered.

--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -51,7 +51,7 @@
         turnstile = self.fleet.turnstile if self.fleet else None
         if turnstile and (why := await turnstile.take()):
             return why
-        return self.leaving.by_hand()
+        return self.leaving.by_hand(turnstile.proven if turnstile else None)
 
     async def activate(self) -> str:
         why = self.leaving.back()
--- a/glenrock/cli/check.py
+++ b/glenrock/cli/check.py
@@ -6,24 +6,30 @@
 
 import click
 
+from .. import toml_file
 from ..toml_file import BadFile
 
 
 @click.command("check")
 @click.argument("file", type=click.Path(path_type=Path))
 def command(file: Path) -> None:
-    """Check an experiment (.toml) or the platform's configuration (.json), and say what is wrong.
+    """Check an experiment, what balancers do together (.toml) or the platform's configuration (.json).
 
     \b
     Example:
       glenrock check experiments/calm.toml
     Exit codes: 0 sound, 2 not; then one line names the file, the line and the key.
     """
-    if file.suffix == ".toml":
+    if file.suffix == ".toml" and "jobs" in toml_file.read(file)[0]:
+        from ..fleet import config as together
+
+        found = together.load(file)
+        click.echo(f"{file}: sound (a fleet's work, on {found.store.kind})")
+    elif file.suffix == ".toml":
         from ..lab import spec
 
-        found = spec.points(file)
-        click.echo(f"{file}: sound ({found[0][1].name}, {len(found)} point{'s' * (len(found) != 1)})")
+        points = spec.points(file)
+        click.echo(f"{file}: sound ({points[0][1].name}, {len(points)} point{'s' * (len(points) != 1)})")
     elif file.suffix == ".json":
         from ..config import ConfigError, read
 
--- /dev/null
+++ b/glenrock/cli/fleet.py
@@ -0,0 +1,10 @@
+"""`glenrock fleet`: what balancers do together, as the store and the balancers tell it."""
+
+from __future__ import annotations
+
+from .main import Lazy
+
+command = Lazy("glenrock.cli", {"jobs": "fleet_jobs", "owner": "fleet_owner", "history": "fleet_history"},
+               name="fleet", help=(
+    "Who owns what, since when, on which term, and what was refused.\n\n"
+    "Page: docs/fleet.md"))
--- a/glenrock/cli/main.py
+++ b/glenrock/cli/main.py
@@ -34,7 +34,7 @@
         return found
 
 
-COMMANDS = {"serve": "serve", "check": "check", "lab": "lab", "stage": "stage", "demo": "demo"}
+COMMANDS = {"serve": "serve", "check": "check", "lab": "lab", "stage": "stage", "fleet": "fleet", "demo": "demo"}
 ROOT = Lazy("glenrock.cli", COMMANDS, name="glenrock", help=(
     "A balancer for long-lived connections, and the tools around it.\n\n"
     "Exit codes: 0 done, 1 failed, 2 bad input."))
--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -51,7 +51,7 @@
 def store_of(f: files.FleetFile, holder: str) -> Store:
     delay, lease = round(f.store.lock_delay_ms * 1000), round(f.lease.lease_ms * 1000)
     if f.store.kind == "sqlite":
-        return LocalStore(Path(f.store.path), holder, delay)
+        return LocalStore(Path(f.store.path), holder, delay, f.lease.ask_ms / 1000)
     from .ownership.consul_store import ConsulStore  # aiohttp is loaded here
 
     token = Path(f.store.token_file).read_text().strip() if f.store.token_file else ""
@@ -147,6 +147,8 @@
 
     async def core(self) -> None:
         while True:
+            for job, (term, _) in self.fence.seen.items():
+                self.holdings.above(job, term)
             asks, events = self.holdings.tick(boottime_us())
             self.told(events)
             if asks:
--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -23,6 +23,7 @@
 JOB = "bans"
 MARK_S = 1.0
 WATCH_S = 10.0
+MOST_KNOWN = 64  # words told to an owner that lacks some, each second
 TURN_S, IDLE_S = 0.04, 0.2  # an owner's round, and others'
 CONFIRM_MS = 1000.0  # an operator waits so long for the word to be numbered
 
@@ -40,9 +41,9 @@
         self.replies: list[tuple[int, wire.Message]] = []
         self.changes: dict[str, bool] = {}
         self.applied: dict[str, bool] = {}
-        self.lives: dict[str, int] = {}  # up to which wish each has been answered
+        self.repairs = False  # somebody knows words that the store has forgotten
         fleet.hands.update({wire.Mark: self.on_mark, wire.Say: self.on_say, wire.Want: self.on_want,
-                            wire.Taken: self.on_taken})
+                            wire.Taken: self.on_taken, wire.Known: self.on_known})
         fleet.on_event.append(self.on_event)
         self.news = asyncio.Event()
         self.due = asyncio.Event()
@@ -113,10 +114,9 @@
         self.settle()
 
     def numbered(self, life: str, count: int) -> None:
-        self.lives[life] = max(count, self.lives.get(life, 0))
-        before = len(self.board.wishes)
+        before = self.board.lives.get(life, 0)
         self.changes.update(self.board.numbered(life, count))
-        self.dirty |= len(self.board.wishes) != before
+        self.dirty |= self.board.lives[life] != before
 
     def take(self, server: str, word: OneWord) -> None:
         changed = self.board.take(server, word)
@@ -191,9 +191,12 @@
 
     async def number_wishes(self, term: int) -> None:
         """Record first, in the name of the term; only then is anybody told."""
-        if not self.ready:
+        if not self.ready or self.repairs:
             await self.read_records()
             self.fence_own(term)
+            self.repairs = False
+            if not await self.repair(term):
+                return
             self.ready = True
             self.mark()
         for id_, value in (await self.fleet.store.wishes(JOB)).items():
@@ -206,7 +209,7 @@
             self.number += 1
             word = OneWord(wish.out, (term, self.number))
             life, count = parted(id_)
-            again = count <= self.lives.get(life, 0)  # posted again, though it had counted
+            again = count <= self.board.lives.get(life, 0)  # posted again, though it had counted
             records = {} if again else {wish.server: word.value(), life_key(life): str(count)}
             if not await self.fleet.store.put(JOB, term, self.number, records, id_):
                 say("fleet", f"the store refused a record of term {term}")
@@ -221,6 +224,34 @@
                 self.telling.add(peer, wish.server, word.revision, boottime_us())
         self.say_again()
 
+    async def repair(self, term: int) -> bool:
+        """A store that went back in time is told again what was said, under this term. Danger: without it, who has
+        heard the words and who has not would each be right for ever."""
+        stored = await self.fleet.store.records(JOB)
+        for server, word in self.board.after(NONE):
+            r = stored.get(server)
+            if r is not None and (r.term, r.number) >= word.revision:
+                continue
+            self.number += 1
+            again = OneWord(word.out, (term, self.number))
+            if self.fleet.holds(JOB) != term or not await self.fleet.store.put(
+                    JOB, term, self.number, {server: again.value()}):
+                return False
+            say("fleet", f"{server}: the store had forgotten that it is {'out' if word.out else 'back'}")
+            self.take(server, again)
+            for peer in self.fleet.roster.heard:
+                self.telling.add(peer, server, again.revision, boottime_us())
+        self.settle()
+        return True
+
+    def on_known(self, peer: int, m: wire.Known) -> None:
+        """A word of a higher revision than the store's own is one that the store has forgotten."""
+        if self.fleet.holds(JOB) is not None and self.ready and m.revision > self.board.words.get(
+                m.server, OneWord(False, NONE)).revision:
+            self.take(m.server, OneWord(m.out, m.revision))
+            self.repairs = True
+            self.due.set()
+
     def fence_own(self, term: int) -> None:
         """An owner is a receiver too: it takes nothing of a lower term any more."""
         self.fleet.fence.hear(JOB, term)
@@ -265,7 +296,11 @@
         if m.digest != self.board.digest:
             # Up to the last that is known first; where that did not help, a word in between was missed.
             pair = (m.digest, self.board.digest)
-            self.replies.append((peer, wire.Want(m.job, m.term, self.board.last, self.asked_all == pair)))
+            again = self.asked_all == pair
+            self.replies.append((peer, wire.Want(m.job, m.term, self.board.last, again)))
+            if again:
+                self.replies += [(peer, wire.Known(m.job, w.revision, w.out, server))
+                                 for server, w in self.board.after(NONE)[-MOST_KNOWN:]]
             self.asked_all = pair
 
     def on_say(self, peer: int, m: wire.Say) -> None:
--- a/glenrock/fleet/jobs/board.py
+++ b/glenrock/fleet/jobs/board.py
@@ -77,6 +77,7 @@
 class Board:
     words: dict[str, Word] = field(default_factory=dict)
     wishes: dict[str, Wish] = field(default_factory=dict)  # of this balancer, by their ids
+    lives: dict[str, int] = field(default_factory=dict)  # up to which wish each life has been answered
     digest: int = 0  # of all words: the same at two that have the same words
     last: Revision = NONE
 
@@ -96,6 +97,7 @@
 
     def numbered(self, life: str, count: int) -> dict[str, bool]:
         """The owner has answered a life's wishes up to that one: the servers that change by it."""
+        self.lives[life] = max(count, self.lives.get(life, 0))
         changes = {}
         for id_ in [i for i in self.wishes if parted(i)[0] == life and parted(i)[1] <= count]:
             server = self.wishes[id_].server
--- a/glenrock/fleet/jobs/words.py
+++ b/glenrock/fleet/jobs/words.py
@@ -10,15 +10,29 @@
 
 import struct
 from collections.abc import Iterable
+from math import log
 
 from wheatrouter.beliefs import FRESH_US
 
 from ..roster import Roster, first, hashed
 
-EVERY_US = FRESH_US // 2  # so that a word that was lost once is still followed by one before it is stale
-ONE = struct.Struct(">Ie")
-IN_ONE = 40  # words in a datagram of 256 bytes
-LARGEST = 65504.0  # of a half float
+EVERY_US = FRESH_US * 4 // 5  # before the word before it is stale; one that is lost costs a probe
+ONE = struct.Struct(">I")  # three bytes of the server's name hashed, and its load
+IN_ONE = 60  # words in a datagram of 256 bytes
+STEP, LEAST = 1.025, 0.01  # loads are told in steps of 2.5%: reports are noisier
+MOST_STEP = 255
+
+
+def stepped(load: float) -> int:
+    return max(0, min(MOST_STEP, 1 + round(log(load / LEAST) / log(STEP)))) if load >= LEAST / 2 else 0
+
+
+def load_of(step: int) -> float:
+    return LEAST * STEP ** (step - 1) if step else 0.0
+
+
+def code_of(name: str) -> int:
+    return hashed(name) & 0xFFFFFF
 
 
 class Shards:
@@ -29,30 +43,30 @@
         self.asked: dict[str, int] = {}  # own, when last
         self.fresh: dict[str, tuple[int, float]] = {}  # heard: when, and the load
         self.to_tell: dict[str, float] = {}
-        self.refreshed = -EVERY_US
+        self.members: list[int] = []
         self.own: list[str] = []
 
     def listed(self, names: Iterable[str]) -> None:
         names = set(names)
         if names == self.servers.keys():
             return
-        self.codes, self.refreshed = {}, -EVERY_US
+        self.codes, self.members = {}, []
         twice: set[int] = set()
         for name in sorted(names):
-            code = hashed(name) & 0xFFFFFFFF
+            code = code_of(name)
             (twice.add(code) if code in self.codes else self.codes.__setitem__(code, name))
         for code in twice:
             del self.codes[code]
-        self.servers = {name: hashed(name) & 0xFFFFFFFF for name in names}
+        self.servers = {name: code_of(name) for name in names}
         for known in (self.asked, self.fresh, self.to_tell):
             for name in known.keys() - names:
                 del known[name]
 
     def mine(self, now: int) -> list[str]:
-        if now - self.refreshed >= EVERY_US:
-            members = list(self.roster.members(now))
+        members = list(self.roster.members(now))
+        if members != self.members:
             self.own = [n for n in self.servers if first(n, members) == self.roster.me]
-            self.refreshed = now
+            self.members = members
         return self.own
 
     def due(self, now: int) -> list[str]:
@@ -74,7 +88,7 @@
 
     def datagrams(self) -> list[bytes]:
         """What has been learned since the last call, for all others."""
-        told = [ONE.pack(self.servers[n], min(LARGEST, load)) for n, load in self.to_tell.items()
+        told = [ONE.pack(self.servers[n] << 8 | stepped(load)) for n, load in self.to_tell.items()
                 if self.codes.get(self.servers[n]) == n]
         self.to_tell.clear()
         return [b"".join(told[at:at + IN_ONE]) for at in range(0, len(told), IN_ONE)]
@@ -84,10 +98,8 @@
         if not data or len(data) % ONE.size:
             return None
         out = []
-        for code, load in ONE.iter_unpack(data):
-            name = self.codes.get(code)
-            if not 0 <= load <= LARGEST:
-                return None
+        for (word,) in ONE.iter_unpack(data):
+            name, load = self.codes.get(word >> 8), load_of(word & 0xFF)
             if name is not None:
                 self.fresh[name] = now, load
                 out.append((name, load))
--- a/glenrock/fleet/kept.py
+++ b/glenrock/fleet/kept.py
@@ -16,6 +16,7 @@
 
 from .jobs.board import Board, Word, wish_of
 from .ownership.fence import Fence
+from .ownership.sqlite_store import BOOT
 
 VERSION = 1
 LARGEST = 8 << 20  # bytes
@@ -23,12 +24,16 @@
 
 class Kept:
     def __init__(self, folder: Path, name: str) -> None:
+        self.boot = BOOT.read_text().strip()
         self.path = folder / f"glenrock-{name}.fleet.json"
         self.signature: tuple[int, int, int] | None = None
         self.tickets: dict[str, tuple[str, int]] = {}  # job: holder and term of a ticket that may still be out
 
     def read(self, fence: Fence, board: Board) -> bool:
-        """Takes over what stands there; True where there was a sound file. ValueError says what is wrong with it."""
+        """Takes over what stands there; True where that is all that was seen. ValueError says what is wrong with it.
+
+        Written without waiting for the disk: a process that dies loses nothing, a machine that does may lose the last.
+        After a boot the file's marks count, and the store must say the rest."""
         try:
             with open(self.path, "rb") as file:
                 self.signature = self.stamp(file.fileno())
@@ -45,17 +50,23 @@
             words = {str(s): Word(bool(out), (int(term), int(number)))
                      for s, (out, term, number) in raw["words"].items()}
             wishes = {str(i): wish_of(json.dumps(w)) for i, w in raw["wishes"].items()}
+            lives = {str(life): int(count) for life, count in raw["lives"].items()}
             tickets = {str(job): (str(holder), int(term)) for job, (holder, term) in raw["tickets"].items()}
         except (KeyError, TypeError, ValueError, AttributeError) as bad:
             raise ValueError(f"not what it should be: {bad!r}") from None
+        whole = raw.get("boot") == self.boot
+        known = fence.known
         fence.learned(seen)
+        fence.known = known or whole
         for server, word in words.items():
             board.take(server, word)
+        for life, count in lives.items():
+            board.numbered(life, count)
         for id_, wish in wishes.items():
             if wish and id_ not in board.wishes:
                 board.wish(id_, wish.server, wish.out)
         self.tickets.update(tickets)
-        return True
+        return whole
 
     def stamp(self, fd: int) -> tuple[int, int, int]:
         s = os.fstat(fd)
@@ -74,7 +85,8 @@
                 found = os.stat(self.path)
                 if (found.st_mtime_ns, found.st_ino, found.st_size) != self.signature:
                     self.merge(fence, board)
-            raw = {"version": VERSION, "seen": fence.seen, "tickets": self.tickets,
+            raw = {"version": VERSION, "boot": self.boot, "seen": fence.seen, "tickets": self.tickets,
+                   "lives": board.lives,
                    "words": {s: [w.out, *w.revision] for s, w in board.words.items()},
                    "wishes": {i: {"server": w.server, "out": w.out} for i, w in board.wishes.items()}}
             beside = self.path.with_suffix(f".{os.getpid()}")
@@ -94,3 +106,5 @@
             fence.seen[job] = max(fence.seen.get(job, (0, 0)), mark)
         for server, word in theirs.words.items():
             board.take(server, word)
+        for life, count in theirs.lives.items():
+            board.numbered(life, count)
--- a/glenrock/fleet/ownership/holdings.py
+++ b/glenrock/fleet/ownership/holdings.py
@@ -15,6 +15,7 @@
 from .store import Lease
 
 LOOKERS = 3  # members that look after a job which is not theirs; the others look when these are gone
+MOST_PATIENCE = 256
 Event = tuple[str, Began | Ended]
 Asks = list[tuple[str, Ask]]
 
@@ -40,6 +41,7 @@
         self.worked: dict[str, int] = {}  # when each job's work last went round
         self.began: dict[str, int] = {}
         self.shed_at = 0
+        self.patience: dict[str, int] = {}  # leases that a job is kept before it is offered to the first in its order
 
     # -- who may act -----------------------------------------------------------------------------------
 
@@ -53,6 +55,12 @@
     def went_round(self, job: str, now: int) -> None:
         self.worked[job] = now
 
+    def above(self, job: str, term: int) -> None:
+        """This process has seen that term as a receiver: one of its own must be higher, whatever the store has
+        forgotten."""
+        if job in self.claims:
+            self.claims[job].floor = max(self.claims[job].floor, term)
+
     def refused(self, job: str, now: int, seen: int) -> list[Event]:
         """A receiver has seen a higher term."""
         claim = self.claims.get(job)
@@ -116,9 +124,12 @@
             return asks, events
         self.shed_at = now
         members = list(self.roster.members(now))
-        away = [job for job, c in self.claims.items() if job in self.jobs and c.holds(now) is not None and not c.kind
-                and now - self.began.get(job, now) > self.rules.lease and first(job, members) != self.roster.me]
+        away = [job for job in self.jobs if self.claims[job].holds(now) is not None and not self.claims[job].kind
+                and now - self.began.get(job, now) > self.rules.lease * self.patience.get(job, 1)
+                and first(job, members) != self.roster.me]
         for job in away[:1 + len(away) // 10]:
+            # Who does not take it, though it is there, is asked ever more seldom: each time the job rests meanwhile.
+            self.patience[job] = min(MOST_PATIENCE, 4 * self.patience.get(job, 1))
             more, ends = self.events(job, self.claims[job].leave(now))
             asks, events = asks + more, events + ends
         return asks, events
--- a/glenrock/fleet/ownership/sqlite_store.py
+++ b/glenrock/fleet/ownership/sqlite_store.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sqlite3
 import time
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import TypeVar
@@ -43,11 +44,11 @@
     """`lock_delay_us`: after a lease that ran out, not one given back, nobody gets it for so long."""
 
     def __init__(self, path: Path, lock_delay_us: int = 0, now: Callable[[], int] = boottime_us,
-                 boot: str | None = None) -> None:
+                 boot: str | None = None, patience_s: float = PATIENCE_S) -> None:
         self.now, self.lock_delay = now, lock_delay_us
         self.boot = boot if boot is not None else BOOT.read_text().strip()
         try:
-            self.db = sqlite3.connect(path, timeout=PATIENCE_S, isolation_level=None, check_same_thread=False)
+            self.db = sqlite3.connect(path, timeout=patience_s, isolation_level=None, check_same_thread=False)
             self.db.execute("PRAGMA journal_mode=WAL")
             self.db.execute("PRAGMA synchronous=FULL")  # a term that was told must not be told again after a crash
             self.db.executescript(FORM)
@@ -72,6 +73,18 @@
         if isinstance(bad, sqlite3.Error):
             raise StoreDown(str(bad)) from None
 
+    @contextlib.contextmanager
+    def reading(self) -> Iterator[sqlite3.Connection]:
+        """One state of the file, without the lock that writers wait for."""
+        try:
+            self.db.execute("BEGIN")
+            yield self.db
+        except sqlite3.Error as bad:
+            raise StoreDown(str(bad)) from None
+        finally:
+            with contextlib.suppress(sqlite3.Error):
+                self.db.execute("ROLLBACK")
+
     def row(self, db: sqlite3.Connection, job: str) -> tuple[str, int, int, int]:
         """Last holder, term, until, its last request. A lease of an earlier boot is nobody's, and its term stays."""
         found = db.execute("SELECT holder, term, until, request, boot FROM lease WHERE job = ?", (job,)).fetchone()
@@ -135,7 +148,7 @@
 
     def leases(self, jobs: Iterable[str] = ()) -> dict[str, Lease]:
         """Of these jobs, or of all that were ever held."""
-        with self as db:
+        with self.reading() as db:
             now, found = self.now(), {}
             for job in list(jobs) or [row[0] for row in db.execute("SELECT job FROM lease")]:
                 held, term, until, _ = self.row(db, job)
@@ -155,7 +168,7 @@
             return True
 
     def records(self, job: str) -> dict[str, Record]:
-        with self as db:
+        with self.reading() as db:
             found = db.execute(
                 "SELECT key, value, term, number FROM record WHERE job = ? ORDER BY term, number", (job,))
             return {key: Record(value, term, number) for key, value, term, number in found}
@@ -165,70 +178,75 @@
             db.execute("INSERT OR REPLACE INTO wish VALUES (?, ?, ?)", (job, wish, value))
 
     def wishes(self, job: str) -> dict[str, str]:
-        with self as db:
+        with self.reading() as db:
             return dict(db.execute("SELECT key, value FROM wish WHERE job = ? ORDER BY rowid", (job,)).fetchall())
 
     def past(self, job: str) -> list[Past]:
-        with self as db:
+        with self.reading() as db:
             found = db.execute("SELECT term, holder, at FROM past WHERE job = ? ORDER BY term", (job,))
             return [Past(*row) for row in found]
 
 
 class LocalStore:
-    """A `SqliteStore` behind the interface of all stores: one thread, so that its calls keep their order."""
+    """A `SqliteStore` behind the interface of all stores: a thread for what writes, so that its calls keep their order.
+
+    Another for what reads. Danger: a process that sleeps within its transaction keeps all others from writing, and what
+    is read would wait in line behind a write that waits for it.
+    """
 
-    def __init__(self, path: Path, holder: str, lock_delay_us: int = 0) -> None:
-        self.path, self.holder, self.lock_delay = path, holder, lock_delay_us
-        self.thread = ThreadPoolExecutor(1, "glenrock-store")
-        self.inner: SqliteStore | None = None
+    def __init__(self, path: Path, holder: str, lock_delay_us: int = 0, patience_s: float = PATIENCE_S) -> None:
+        self.path, self.holder, self.lock_delay, self.patience = path, holder, lock_delay_us, patience_s
+        self.threads = {n: ThreadPoolExecutor(1, f"glenrock-store-{n}") for n in ("write", "read")}
+        self.inner: dict[str, SqliteStore] = {}
         self.version = -1
 
-    async def call(self, work: Callable[[SqliteStore], T]) -> T:
+    async def call(self, work: Callable[[SqliteStore], T], how: str = "write") -> T:
         def inside() -> T:
-            if self.inner is None:
-                self.inner = SqliteStore(self.path, self.lock_delay)
-            return work(self.inner)
+            if how not in self.inner:
+                self.inner[how] = SqliteStore(self.path, self.lock_delay, patience_s=self.patience)
+            return work(self.inner[how])
 
-        return await asyncio.get_running_loop().run_in_executor(self.thread, inside)
+        return await asyncio.get_running_loop().run_in_executor(self.threads[how], inside)
+
+    async def read(self, work: Callable[[SqliteStore], T]) -> T:
+        return await self.call(work, "read")
 
     async def ask(self, asks: Sequence[tuple[str, Ask]], lease_us: int) -> dict[str, int]:
         return await self.call(lambda s: s.batch(self.holder, asks, lease_us))
 
     async def leases(self, jobs: Sequence[str] = ()) -> dict[str, Lease]:
-        return await self.call(lambda s: s.leases(jobs))
+        return await self.read(lambda s: s.leases(jobs))
 
     async def put(self, job: str, term: int, number: int, values: Mapping[str, str], wish: str = "") -> bool:
         return await self.call(lambda s: s.put(job, self.holder, term, number, values, wish))
 
     async def records(self, job: str) -> dict[str, Record]:
-        return await self.call(lambda s: s.records(job))
+        return await self.read(lambda s: s.records(job))
 
     async def post(self, job: str, wish: str, value: str) -> None:
         await self.call(lambda s: s.post(job, wish, value))
 
     async def wishes(self, job: str) -> dict[str, str]:
-        return await self.call(lambda s: s.wishes(job))
+        return await self.read(lambda s: s.wishes(job))
 
     async def free(self, job: str, holder: str, term: int) -> None:
         await self.call(lambda s: s.free(job, holder, term))
 
     async def past(self, job: str) -> list[Past]:
-        return await self.call(lambda s: s.past(job))
+        return await self.read(lambda s: s.past(job))
 
     async def changed(self, wait_s: float) -> None:
-        """The file's version as this connection sees it; a write of our own does not change it."""
+        """The file's version as the reading connection sees it."""
         until = asyncio.get_running_loop().time() + wait_s
         while asyncio.get_running_loop().time() < until:
-            version = await self.call(lambda s: int(s.db.execute("PRAGMA data_version").fetchone()[0]))
+            version = await self.read(lambda s: int(s.db.execute("PRAGMA data_version").fetchone()[0]))
             if version != self.version:
                 self.version = version
                 return
             await asyncio.sleep(LOOK_S)
 
     async def close(self) -> None:
-        def shut() -> None:
-            if self.inner is not None:
-                self.inner.close()
-
-        await asyncio.get_running_loop().run_in_executor(self.thread, shut)
-        self.thread.shutdown(wait=False)
+        for how, thread in self.threads.items():
+            await asyncio.get_running_loop().run_in_executor(
+                thread, lambda how=how: self.inner[how].close() if how in self.inner else None)
+            thread.shutdown(wait=False)
--- a/glenrock/fleet/roster.py
+++ b/glenrock/fleet/roster.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Protocol
 
@@ -13,6 +14,7 @@
 NEVER = -1 << 62
 
 
+@lru_cache(maxsize=1 << 17)  # members times pieces of work
 def hashed(*parts: object) -> int:
     return int.from_bytes(blake2b("\0".join(map(str, parts)).encode(), digest_size=8).digest(), "big")
 
--- a/glenrock/fleet/turnstile.py
+++ b/glenrock/fleet/turnstile.py
@@ -110,11 +110,20 @@
 
     def on_event(self, job: str, e: Any) -> None:
         if isinstance(e, Ended) and job == self.held:
-            # Danger: without the ticket another may be drained now.
-            say("ticket", f"{job} is lost ({e.why}): clients are taken again")
-            self.held = ""
-            self.fleet.holdings.wanted.discard(job)
-            self.fleet.program.leaving.back()
+            self.lose(e.why)
+
+    def proven(self) -> bool:
+        """Whether the ticket is held now; where it is not, the drain ends."""
+        if self.held and self.fleet.holds(self.held) is None:
+            self.lose("its term is over")
+        return bool(self.held)
+
+    def lose(self, why: str) -> None:
+        """Danger: without the ticket another may be drained now."""
+        say("ticket", f"{self.held} is lost ({why}): clients are taken again")
+        self.fleet.holdings.wanted.discard(self.held)
+        self.held = ""
+        self.fleet.program.leaving.back()
 
     def give_back(self) -> None:
         job, self.held = self.held, ""
--- a/glenrock/fleet/wire.py
+++ b/glenrock/fleet/wire.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 LONGEST = 256
-MARK, WANT, WORD, TAKEN, LOADS, FREE = 0xF1, 0xF2, 0xF3, 0xF4, 0xF5, 0xF6
+MARK, WANT, WORD, TAKEN, LOADS, FREE, KNOWN = 0xF1, 0xF2, 0xF3, 0xF4, 0xF5, 0xF6, 0xF7
 LONGEST_JOB = 32
 HEAD = struct.Struct(">BB")
 LARGEST = (1 << 64) - 1
@@ -72,9 +72,20 @@
     job: str
 
 
-Message = Mark | Want | Say | Taken | Loads | Free
+@dataclass(frozen=True, slots=True)
+class Known:
+    """To an owner that says other words than are known here, though it has told all of its own: what is known."""
+
+    job: str
+    revision: tuple[int, int]
+    out: bool
+    server: str
+
+
+Message = Known | Mark | Want | Say | Taken | Loads | Free
 FORMS = {MARK: struct.Struct(">QQ"), WANT: struct.Struct(">QQQB"), WORD: struct.Struct(">QQQQB"),
-         TAKEN: struct.Struct(">BQQQQQ"), FREE: struct.Struct(">")}
+         TAKEN: struct.Struct(">BQQQQQ"), FREE: struct.Struct(">"),
+         KNOWN: struct.Struct(">QQB")}
 
 
 def fitted(*numbers: int) -> list[int]:
@@ -96,6 +107,8 @@
         elif isinstance(m, Taken):
             kind = TAKEN
             body = FORMS[TAKEN].pack(m.ok, *fitted(m.seen, m.term, m.number, *m.revision)) + m.server.encode()
+        elif isinstance(m, Known):
+            kind, body = KNOWN, FORMS[KNOWN].pack(*fitted(*m.revision), m.out) + m.server.encode()
         else:
             kind, body = FREE, b""
         job = m.job.encode()
@@ -106,20 +119,22 @@
 
 
 def decode(data: bytes) -> Message | None:
-    if not 2 <= len(data) <= LONGEST or not MARK <= data[0] <= FREE:
+    if not 2 <= len(data) <= LONGEST or not MARK <= data[0] <= KNOWN:
         return None
     kind = data[0]
     if kind == LOADS:
         return Loads(data[1:])
     start = HEAD.size + data[1]
     form = FORMS[kind]
+    if len(data) < start + form.size:
+        return None
     try:
         job = data[HEAD.size:start].decode()
         values = form.unpack(data[start:start + form.size])
         rest = data[start + form.size:].decode()
     except (struct.error, UnicodeDecodeError):
         return None
-    if not job or len(job.encode()) > LONGEST_JOB or (kind in (WORD, TAKEN)) != bool(rest):
+    if not job or len(job.encode()) > LONGEST_JOB or (kind in (WORD, TAKEN, KNOWN)) != bool(rest):
         return None
     if kind == MARK:
         return Mark(job, *values)
@@ -129,4 +144,6 @@
         return Say(job, values[0], values[1], (values[2], values[3]), bool(values[4]), rest)
     if kind == TAKEN:
         return Taken(job, bool(values[0]), values[1], values[2], values[3], (values[4], values[5]), rest)
+    if kind == KNOWN:
+        return Known(job, (values[0], values[1]), bool(values[2]), rest)
     return Free(job)
--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -36,6 +36,7 @@
 from .policies import module
 from .policies.oracle import Oracle
 from .rules import Judge
+from .shards import Shared
 from .spec import Experiment, drawn, settings_of
 from .streams import Streams
 
@@ -62,6 +63,7 @@
         self.measure = Measure(e, self.plan.asked, self.begin_us, len(shapes))
         self.links = Links(e.network, streams)
         self.habits = Habits(e.clients, streams)
+        self.shards = Shared(self) if e.platform.probe_shards else None
         self.store = Store(float(e.store.headroom) * self.plan.per_s, float(e.store.call_ms) * 1000)
         self.setup_draw = streams.exponentials("set-up work")
         self.noise = streams.normals("report noise")
@@ -139,6 +141,8 @@
             self.faults.append({"kind": type(f).__struct_config__.tag, "from_s": rounded(float(f.at_s)),
                                 "to_s": rounded(min(float(e.length_s), float(f.at_s) + faults.lasts_s(f)))})
             self.engine.at(at, faults.FAULTS[type(f)], self, f, self.streams.of(f"fault {n}"))
+        if self.shards:
+            self.shards.begin()
         self.engine.at(now, self.second, 0)
         self.engine.at(now + self.length, self.ring_bell)
 
--- a/glenrock/lab/day_attempts.py
+++ b/glenrock/lab/day_attempts.py
@@ -169,6 +169,10 @@
     # -- probes, peers, the list (World) -------------------------------------------------------------
 
     def probe(self: Day, host: Host, server: str) -> None:
+        if self.shards is None or not self.shards.knows(host, server):
+            self.probe_now(host, server)
+
+    def probe_now(self: Day, host: Host, server: str) -> None:
         self.measure.counts["probes"] += 1
         i = self.instances[server]
         now = self.engine.now
@@ -200,6 +204,8 @@
         if host.life == life and host.up:
             if not self.links.open(host.zone, i.shape.zone):
                 verdict, report = "timeout", {}
+            if self.shards and verdict == "served":
+                self.shards.result(host, i.name, report)
             host.post(io.ProbeResult(i.name, verdict, self.engine.now - asked, report))
 
     def tell(self: Day, host: Host, data: bytes) -> None:
@@ -212,6 +218,8 @@
 
     def told(self: Day, host: Host, peer: int, data: bytes) -> None:
         if host.up:  # a message that outlives its sender arrives all the same
+            if self.shards and self.shards.arrives(host, peer, data):
+                return
             host.post(io.PeerMessage(peer, data))
 
     def watch(self: Day, host: Host) -> None:
--- a/glenrock/lab/spec.py
+++ b/glenrock/lab/spec.py
@@ -173,6 +173,7 @@
     max_attempts: Some = 5
     may_probe: bool = True
     may_tell: bool = True
+    probe_shards: bool = False  # each instance is probed by one balancer, which tells the rest
     may_cancel: bool = True
     retry_after: bool = True
     max_retry_after_ms: Least0 = 1000.0
--- a/glenrock/net/entrance.py
+++ b/glenrock/net/entrance.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import traceback
+from collections.abc import Callable
 from typing import Protocol
 
 from ..config import Address
@@ -46,6 +47,12 @@
         self.listener: socket.socket | None = None
         self.away = False  # clients are sent away: PING is told so
         self.refuses = False  # and new commands are refused
+        self.proof: Callable[[], bool] | None = None  # of the right to that; it ends it where there is none
+
+    def proven(self) -> bool:
+        """Whether clients may be sent away. Danger: who slept since it was allowed to has the right no more, and would
+        act on it before its clock has told it so."""
+        return not (self.away and self.proof) or self.proof()
 
     def listen(self, address: Address) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -148,6 +155,7 @@
                 return None
             if data != lines.PING:
                 break
+            self.proven()
             await loop.sock_sendall(sock, lines.FAILED if self.away else lines.PONG)
             self.has_answer()
             data, pinged = b"", True
@@ -160,7 +168,7 @@
                 self.commands.turned_away("faulted", first.fields["c"])
             say("first line", f"not understood, {opened}: {data[:120]!r}")
             await self.turn_away(sock, lines.FAILED)
-        elif self.refuses or self.commands.full():
+        elif (self.proven() and self.refuses) or self.commands.full():
             if not self.refuses:
                 say("descriptors", "no room for another command: nacked")
             self.commands.turned_away("throttled", opened.fields["c"])
--- a/glenrock/net/leaving.py
+++ b/glenrock/net/leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from wheatrouter import interface as io
@@ -49,12 +50,13 @@
             return "not ready: the process is stopping"
         return "not ready: clients are sent away" if self.away else ""
 
-    def by_hand(self) -> str:
+    def by_hand(self, proof: Callable[[], bool] | None = None) -> str:
+        """`proof`: asked before anything is done in the name of this drain; it ends the drain where it is lost."""
         if self.stopping:
             return "not done: the process is stopping"
         if not self.away:
             say("drain", f"{len(self.server.commands)} clients are sent away")
-            self.entrance.away = True
+            self.entrance.away, self.entrance.proof = True, proof
             self.server.decider.order(io.Going(True))
             self.away = asyncio.get_running_loop().create_task(self.send_away())
         return ""
@@ -79,6 +81,8 @@
         until = began + AWAY_MS
         await self.clock.sleep(QUIET_MS)
         while True:
+            if not self.entrance.proven():
+                return
             now = self.clock.now()
             self.entrance.refuses = now >= began + LATE_MS
             self.move_some(until - now)
--- a/glenrock/stage/judge.py
+++ b/glenrock/stage/judge.py
@@ -26,6 +26,7 @@
     drain_grace_ms: float
     answer_grace_ms: float = 0.0
     tickets: int = 0  # balancers drained by hand at a time; 0: not counted
+    until: int = 1 << 62  # the run's end
     apart: tuple[str, ...] = ()  # at the end, who says another thing than the rest of what is done together
 
 
@@ -72,8 +73,10 @@
         if e.who == "clients" and e.what in ("answered", "closed", "silent", "left"):
             ends[e.id].append(e)
     for e in h.each("sent"):
-        v.case("answered")
         limit = e.at + round((e.data["d_ms"] + figures.answer_grace_ms + LATE_MS) * MS)
+        if limit > figures.until:
+            continue  # the run ended before its time did
+        v.case("answered")
         what = ends.get(e.id, [])
         if any(x.what == "left" for x in what):
             continue
--- a/glenrock/stage/run.py
+++ b/glenrock/stage/run.py
@@ -184,7 +184,7 @@
             if self.together:
                 await self.together.close()
         figures = judge.Figures(self.scene.rules.drain_grace_ms, self.scene.rules.answer_grace_ms,
-                                self.scene.together.turnstile, tuple(self.apart))
+                                self.scene.together.turnstile, self.history.events[-1].at, tuple(self.apart))
         verdict = judge.judge(self.history, figures)
         return self.summary(verdict, time.monotonic() - wall, time.process_time() - cpu)
 
@@ -236,7 +236,7 @@
         c["datagrams"], c["datagrams_lost"] = self.post.carried, self.post.lost
         first = max(1, c["clients"])
         rules = {name: sum(b.rule == name for b in v.breaches) for name in judge.CHECKS}
-        day = self.engine.day
+        day, lease_us = self.engine.day, round(self.scene.together.lease_ms * 1000)
         faults = [{"kind": s.kind, "from_s": rounded((s.begin - day) / S),
                    "to_s": rounded(min(self.length_s, (s.end - day) / S))}
                   for s in self.history.spells if s.begin - day < self.length_s * S]
@@ -256,7 +256,7 @@
                       "capacity_cores": rounded(self.plan.capacity / S), "clients_per_s": rounded(self.plan.per_s)},
             "processes": {b.name: {"lives": b.lives, "cpu_s": rounded(self.cpu.get(b.number, 0.0))}
                           for b in self.balancers},
-            **({"together": judged.figures(self.history)} if self.together else {}),
+            **({"together": judged.figures(self.history, lease_us)} if self.together else {}),
             "clock": {"wall_s": round(wall_s, 3), "cpu_s": round(cpu_s, 3), "cores": os.cpu_count() or 1,
                       "events": len(self.history.events)}}
 
--- /dev/null
+++ b/tests/stage/test_owner.py
@@ -0,0 +1,114 @@
+"""Work done together by processes that are paused, killed and cut off; and the judge's rules for it, by histories."""
+
+from __future__ import annotations
+
+import pytest
+
+from glenrock.stage import judge
+from glenrock.stage.history import History
+from glenrock.stage.judge_together import figures
+from glenrock.toml_file import BadFile
+
+from .scenes import played, scene
+
+LEASE_MS = 700.0
+TOGETHER = {"lease_ms": LEASE_MS, "ask_ms": 250.0}
+STRUCK = ["pause", "kill", "cut", "late", "ban", "ban", "ticket"]
+
+
+def strikes(kinds: list[str]) -> dict:
+    return {"kind": "strikes", "at_s": 1.5, "for_s": 7.0, "each_ms": 180.0, "kinds": kinds}
+
+
+RUNS = {
+    "sqlite": [{"kind": "ban", "at_s": 0.5, "balancer": 1, "instance": 1}, strikes(STRUCK)],
+    "consul": [{"kind": "ban", "at_s": 0.5, "balancer": 1, "instance": 1}, strikes([*STRUCK, "store_cut"]),
+               {"kind": "store_fault", "at_s": 3.0, "how": "rollback", "for_s": 1.0},
+               {"kind": "store_fault", "at_s": 5.0, "how": "loses", "for_s": 0.5},
+               {"kind": "store_fault", "at_s": 6.5, "how": "restart", "for_s": 0.4}]}
+
+
+@pytest.mark.parametrize("store", RUNS)
+def test_struck_at_drawn_instants_effects_come_in_order_tickets_are_counted_and_all_agree(store) -> None:
+    together = {**TOGETHER, "store": store, "late": 1.3}
+    stage, s = played(seed=4, length_s=10.0, together=together, faults=RUNS[store])
+    assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
+    t = s["together"]
+    assert t["terms"] >= 2 and t["struck"] > 15 and s["seen"].get("terms", 0) >= 2 and s["seen"]["agreed"]
+    assert t["told"] + t["told_later"] > 0 and t["drained"] > 0
+
+
+def test_a_ban_reaches_all_through_the_store_where_words_are_cut_and_an_old_owners_words_come_late() -> None:
+    cut = {"kind": "way", "at_s": 0.0, "source": "balancer:*", "target": "balancer:*", "for_s": 3.0, "cut": True}
+    late = {**cut, "at_s": 3.0, "for_s": 5.0, "cut": False, "delay_ms": 1500.0}
+    stage, s = played(seed=1, length_s=9.0, together={**TOGETHER, "store": "sqlite"}, faults=[
+        cut, late, {"kind": "ban", "at_s": 1.0, "balancer": 0, "instance": 2},
+        {"kind": "ban", "at_s": 4.0, "balancer": 0, "instance": 2, "out": False},
+        *({"kind": "pause", "at_s": 4.2 + n % 3, "balancer": n, "for_s": 0.9} for n in range(3))])
+    assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
+    assert s["together"]["told"] == 2 and not s["seen"].get("banned")
+    assert s["together"]["late"] > 0, "void unless words of an old term were refused"
+
+
+def test_with_the_store_gone_clients_are_served_a_ban_holds_where_it_was_told_and_reaches_all_later() -> None:
+    stage, s = played(seed=2, length_s=9.0, together={**TOGETHER, "store": "consul"}, faults=[
+        {"kind": "store_fault", "at_s": 0.5, "how": "refuses", "for_s": 5.0},
+        {"kind": "ban", "at_s": 1.5, "balancer": 0, "instance": 2}, {"kind": "ticket", "at_s": 3.0, "balancer": 1}])
+    assert not s["breaches"] and s["counts"]["set_up"] > 20, s["breaches"]
+    t = s["together"]
+    assert (t["told"], t["told_later"], t["drained"], t["drains_refused"]) == (0, 1, 0, 1)
+    lines = [e for e in stage.history.each("line") if e.who == "instance:2" and e.at > stage.history.day + 2e6]
+    assert not [e for e in lines if e.data["balancer"] == 0]
+
+
+def history(*events: tuple) -> History:
+    clock = [0]
+    h = History(lambda: clock[0])
+    for at_ms, who, what, data in events:
+        clock[0] = at_ms * 1000
+        h.note(who, what, "", **data)
+    return h
+
+
+def effect(at_ms: int, term: int, number: int, ok: bool = True, who: str = "balancer:1") -> tuple:
+    return at_ms, who, "effect", {"job": "bans", "term": term, "number": number, "ok": ok, "seen": 5}
+
+
+def away(n: int, *at_ms: int) -> list[tuple]:
+    return [(at, "front", "away", {"balancer": n}) for at in at_ms]
+
+
+def heard(at_ms: int, out: bool, status: int = 200) -> tuple:
+    return at_ms, "operator", "heard", {"balancer": 0, "instance": "instance:3", "out": out, "status": status}
+
+
+LINE = "instance:3", "line", {"balancer": 2, "at": False}
+
+
+@pytest.mark.parametrize("events, broken", [
+    ([effect(1, 4, 1), effect(2, 5, 1), effect(3, 5, 2), effect(4, 4, 9, ok=False)], ""),
+    ([effect(1, 5, 1), effect(2, 4, 7)], "terms"), ([effect(1, 5, 1), effect(2, 5, 1)], "terms"),
+    ([effect(1, 5, 1), effect(2, 4, 7, who="balancer:2")], ""),
+    ([*away(1, 100, 300, 500), *away(2, 900, 1100)], ""), ([*away(1, 100, 300), *away(2, 350, 500)], ""),
+    ([*away(1, 100, 300, 500), *away(2, 400, 600)], "tickets"), ([*away(1, 100), *away(2, 100)], "tickets"),
+    ([heard(100, True), (1000, *LINE)], ""), ([heard(100, True), (1300, *LINE)], "banned"),
+    ([heard(100, True, 202), (1300, *LINE)], ""),
+    ([heard(100, True), (900, "operator", "says", {"instance": "instance:3", "out": False}), (1300, *LINE)], "")])
+def test_the_judge_sees_what_is_not_kept(events, broken) -> None:
+    h = history(*sorted(events, key=lambda e: e[0]))
+    v = judge.judge(h, judge.Figures(2500.0, tickets=1))
+    assert {b.rule for b in v.breaches} == ({broken} if broken else set())
+    assert sum(v.seen.values()) > 0 and figures(h, 1000)["taken"] == sum(e.data["ok"] for e in h.each("effect"))
+
+
+def test_who_says_another_thing_at_the_end_is_told() -> None:
+    v = judge.judge(history(effect(1, 5, 1)), judge.Figures(2500.0, apart=("balancer 2: {}",)))
+    assert [b.rule for b in v.breaches] == ["agreed"] and "balancer 2" in v.breaches[0].text
+
+
+@pytest.mark.parametrize("fault, said", [
+    ({"kind": "ban", "at_s": 1.0}, "names no store"), (strikes(["pause"]), "names no store"),
+    ({"kind": "way", "at_s": 1.0, "source": "balancer:0", "target": "store", "cut": True}, "nothing goes from")])
+def test_what_needs_a_store_is_told_where_there_is_none(fault, said) -> None:
+    with pytest.raises(BadFile, match=said):
+        scene(faults=[fault])
