--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -29,7 +29,7 @@
         self.draw, self.now, self.late = random.Random(seed), 0, round(late * RULES.lease)
         self.jobs = [f"job-{n}" for n in range(jobs)]
         self.rosters = [Heard(n, range(balancers), 0) for n in range(balancers)]
-        self.members = [Holdings(r, RULES, self.jobs, RULES.lease // 10) for r in self.rosters]
+        self.members = [Holdings(r, RULES, self.jobs, LOOK) for r in self.rosters]
         self.turn_at = [self.draw.randrange(TURN) for _ in self.members]
         self.look_at = [self.draw.randrange(LOOK) for _ in self.members]
         self.looks = [0] * balancers
--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -25,14 +25,14 @@
 WATCH_S = 10.0
 MOST_KNOWN = 64  # words told to an owner that lacks some, each second
 TURN_S, IDLE_S = 0.04, 0.2  # an owner's round, and others'
-CONFIRM_MS = 1000.0  # an operator waits so long for the word to be numbered
+CONFIRM_MS = 700.0  # an operator waits so long for the word to be numbered: answers are due within 1 s
 
 
 class Bans:
     def __init__(self, fleet: Fleet) -> None:
         self.fleet, self.board = fleet, fleet.board
         self.telling = Telling()
-        self.count = self.sent = 0
+        self.count = self.sent = self.order = 0
         self.posted: set[str] = set()
         self.ready = False  # owner, and all records read
         self.number = 0  # of records, in this term
@@ -296,7 +296,7 @@
         taken = self.fleet.fence.hear(m.job, m.term)
         if not taken.ok:
             self.fleet.refuse(peer, m.job, m.term, taken)
-            self.replies.append((peer, wire.Taken(m.job, False, taken.seen, m.term, 0, NONE, "-")))
+            self.replies.append((peer, wire.Taken(m.job, False, taken.seen, m.term, 0, NONE, self.judged(), "-")))
             return
         self.dirty |= self.fleet.fence.seen.get(m.job) != before
         if m.digest != self.board.digest:
@@ -316,4 +316,9 @@
             self.dirty = True
         else:
             self.fleet.refuse(peer, m.job, m.term, taken)
-        self.replies.append((peer, wire.Taken(m.job, taken.ok, taken.seen, m.term, m.number, m.revision, m.server)))
+        self.replies.append((peer, wire.Taken(m.job, taken.ok, taken.seen, m.term, m.number, m.revision,
+                                               self.judged(), m.server)))
+
+    def judged(self) -> int:
+        self.order += 1
+        return self.order
--- a/glenrock/fleet/ownership/holdings.py
+++ b/glenrock/fleet/ownership/holdings.py
@@ -10,12 +10,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..roster import Roster, first, ranked
+from ..roster import Roster, first, rank
 from .claim import Ask, Began, Claim, Ended, Rules
 from .store import Lease
 
 LOOKERS = 3  # members that look after a job which is not theirs; the others look when these are gone
 MOST_PATIENCE = 256
+MOST_STEPS = 10  # nobody waits longer than this many steps for those before it
 Event = tuple[str, Began | Ended]
 Asks = list[tuple[str, Ask]]
 
@@ -122,8 +123,8 @@
         seen = self.seen.get(job)
         if job not in self.jobs or now < self.unfit.get(job, 0) or seen is None or seen.free_at < 0:
             return False
-        order = ranked(job, self.roster.members(now))
-        return now >= seen.free_at + order.index(self.roster.me) * self.step
+        before = rank(job, self.roster.me, self.roster.members(now), MOST_STEPS)
+        return now >= seen.free_at + before * self.step
 
     def shed(self, now: int) -> tuple[Asks, list[Event]]:
         """Work goes back to the first in its order, a tenth of it at a time: after a start one may hold all."""
@@ -148,7 +149,7 @@
         members = list(self.roster.members(now))
         if members != self.members:
             self.members = members
-            self.near = [job for job in self.jobs if self.roster.me in ranked(job, members)[:LOOKERS]]
+            self.near = [job for job in self.jobs if rank(job, self.roster.me, members, LOOKERS) < LOOKERS]
         return [job for job in (self.jobs if every else self.near) if self.claims[job].holds(now) is None]
 
     def looked(self, asked: Iterable[str], leases: dict[str, Lease], now: int) -> None:
@@ -185,6 +186,8 @@
 
     def events(self, job: str, effects: list[object]) -> tuple[Asks, list[Event]]:
         for e in effects:
+            if isinstance(e, Began | Ended) and job in self.seen:
+                self.seen[job].free_at = -1  # what was seen before says nothing now: the store must say it is free
             if isinstance(e, Began):
                 self.began[job] = self.worked[job] = self.claims[job].sent_at
         return ([(job, e) for e in effects if isinstance(e, Ask)],
--- a/glenrock/fleet/roster.py
+++ b/glenrock/fleet/roster.py
@@ -11,10 +11,10 @@
 from typing import Protocol
 
 SILENT_US = 3_000_000  # calm balancers speak each 1 to 5 s by summaries; marks and words come each second
-NEVER = -1 << 62
+MASK = (1 << 64) - 1
 
 
-@lru_cache(maxsize=1 << 17)  # members times pieces of work
+@lru_cache(maxsize=1 << 14)  # members and pieces of work
 def hashed(*parts: object) -> int:
     return int.from_bytes(blake2b("\0".join(map(str, parts)).encode(), digest_size=8).digest(), "big")
 
@@ -40,10 +40,31 @@
         return (self.me, *(p for p, at in self.heard.items() if now - at < SILENT_US))
 
 
+def place(member: int, key: int) -> int:
+    """A member's place for a piece of work, by its hash: mixed from two that are kept, since fleets have many pairs."""
+    x = ((hashed(member) ^ key) * 0x9E3779B97F4A7C15) & MASK
+    x = ((x ^ x >> 32) * 0xBF58476D1CE4E5B9) & MASK
+    return x ^ x >> 29
+
+
 def ranked(key: str, members: Iterable[int]) -> list[int]:
     """Members in their order for this piece of work; who joins or goes changes nobody else's place in it."""
-    return sorted(members, key=lambda m: hashed(m, key))
+    code = hashed(key)
+    return sorted(members, key=lambda m: place(m, code))
 
 
 def first(key: str, members: Iterable[int]) -> int:
-    return min(members, key=lambda m: hashed(m, key))
+    code = hashed(key)
+    return min(members, key=lambda m: place(m, code))
+
+
+def rank(key: str, me: int, members: Iterable[int], most: int) -> int:
+    """How many members come before this one, counted up to `most`."""
+    code, before = hashed(key), 0
+    mine = place(me, code)
+    for m in members:
+        if place(m, code) < mine:
+            before += 1
+            if before >= most:
+                break
+    return before
--- a/glenrock/fleet/turnstile.py
+++ b/glenrock/fleet/turnstile.py
@@ -19,6 +19,7 @@
     from .agent import Fleet
 
 AGAIN_S = 0.5
+ANSWER_S = 0.8  # for all that a call asks of the store: operators are owed an answer within 1 s
 
 
 def slot(n: int) -> str:
@@ -72,24 +73,26 @@
         async with self.turn:
             if self.held:
                 return ""
+            loop = asyncio.get_running_loop()
+            until = loop.time() + ANSWER_S
             try:
-                leases = await asyncio.wait_for(self.fleet.store.leases(self.slots), self.fleet.rules.ask_within / 1e6)
+                leases = await asyncio.wait_for(self.fleet.store.leases(self.slots), ANSWER_S)
             except (StoreDown, TimeoutError) as bad:
                 self.fleet.down(bad)
                 return f"not done: the store of tickets does not answer: {bad or 'no answer in time'}"
             for job in self.slots:
                 lease = leases.get(job)
-                if not (lease and lease.holder) and await self.ask(job):
+                if not (lease and lease.holder) and await self.ask(job, until - loop.time()):
                     return ""
             holders = ", ".join(sorted({lease.holder.partition("/")[0] for lease in leases.values() if lease.holder}))
             return f"not done: {len(self.slots)} may be drained at a time, and are: {holders or 'just taken by others'}"
 
-    async def ask(self, job: str) -> bool:
+    async def ask(self, job: str, within_s: float) -> bool:
         answer = self.answers[job] = asyncio.get_running_loop().create_future()
         self.fleet.holdings.want(job, boottime_us())
         self.fleet.wakes.set()
         try:
-            got = await asyncio.wait_for(answer, 2 * self.fleet.rules.ask_within / 1e6)
+            got = await asyncio.wait_for(answer, max(0.0, within_s))
         except TimeoutError:
             got = False
         self.answers.pop(job, None)
--- a/glenrock/fleet/wire.py
+++ b/glenrock/fleet/wire.py
@@ -57,6 +57,7 @@
     term: int
     number: int
     revision: tuple[int, int]
+    order: int  # of this among all that the receiver's process has judged: its answers go different ways
     server: str
 
 
@@ -84,7 +85,7 @@
 
 Message = Known | Mark | Want | Say | Taken | Loads | Free
 FORMS = {MARK: struct.Struct(">QQ"), WANT: struct.Struct(">QQQB"), WORD: struct.Struct(">QQQQB"),
-         TAKEN: struct.Struct(">BQQQQQ"), FREE: struct.Struct(">"),
+         TAKEN: struct.Struct(">BQQQQQQ"), FREE: struct.Struct(">"),
          KNOWN: struct.Struct(">QQB")}
 
 
@@ -106,7 +107,7 @@
             body = FORMS[WORD].pack(*fitted(m.term, m.number, *m.revision), m.out) + m.server.encode()
         elif isinstance(m, Taken):
             kind = TAKEN
-            body = FORMS[TAKEN].pack(m.ok, *fitted(m.seen, m.term, m.number, *m.revision)) + m.server.encode()
+            body = FORMS[TAKEN].pack(m.ok, *fitted(m.seen, m.term, m.number, *m.revision, m.order)) + m.server.encode()
         elif isinstance(m, Known):
             kind, body = KNOWN, FORMS[KNOWN].pack(*fitted(*m.revision), m.out) + m.server.encode()
         else:
@@ -143,7 +144,8 @@
     if kind == WORD:
         return Say(job, values[0], values[1], (values[2], values[3]), bool(values[4]), rest)
     if kind == TAKEN:
-        return Taken(job, bool(values[0]), values[1], values[2], values[3], (values[4], values[5]), rest)
+        return Taken(job, bool(values[0]), values[1], values[2], values[3], (values[4], values[5]), values[6],
+                     rest)
     if kind == KNOWN:
         return Known(job, (values[0], values[1]), bool(values[2]), rest)
     return Free(job)
--- a/glenrock/stage/judge_together.py
+++ b/glenrock/stage/judge_together.py
@@ -21,7 +21,14 @@
 
 def terms(h: History, figures: Figures, v: Verdict) -> None:
     last: dict[tuple[str, str], tuple[int, int]] = {}
-    for e in h.each("effect"):
+    lives: dict[str, int] = defaultdict(int)
+    judged = []
+    for e in h.events:
+        lives[e.who] += e.what == "started"
+        if e.what == "effect":
+            # Answers to different owners go different ways; the receiver says in which order it judged.
+            judged.append((lives[e.who], e.data["order"], e))
+    for _, _, e in sorted(judged, key=lambda x: x[:2]):
         if not e.data["ok"]:
             v.seen["late"] += e.data["term"] < e.data["seen"]
             continue
--- a/glenrock/stage/together.py
+++ b/glenrock/stage/together.py
@@ -111,7 +111,7 @@
         m = wire.decode(data) if data[:1] >= b"\xf1" else None
         if isinstance(m, wire.Taken) and m.number:
             self.stage.history.note(f"balancer:{sender}", "effect", job=m.job, term=m.term, number=m.number, ok=m.ok,
-                                    seen=m.seen)
+                                    seen=m.seen, order=m.order)
         elif isinstance(m, wire.Taken):
             self.stage.history.note(f"balancer:{sender}", "mark refused", job=m.job, term=m.term, seen=m.seen)
 
--- a/glenrock/upgrade/agreement.py
+++ b/glenrock/upgrade/agreement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from wheatrouter import interface as io
@@ -24,6 +25,7 @@
         self.folder, self.clock, self.instances, self.decider = folder, clock, instances, decider
         self.shared = state.Shared()
         self.signature: state.Signature | None = None
+        self.changing = asyncio.Lock()
         self.had = 0  # instances known when the file was last written
 
     def knows(self, name: str) -> bool:
@@ -41,7 +43,7 @@
             self.follow()
             if len(self.instances.all) != self.had:
                 try:
-                    self.change(lambda shared: None)
+                    await self.change(lambda shared: None)
                 except OSError as bad:
                     say("upgrade", f"{state.NAME} cannot be written: {bad}")
 
@@ -52,12 +54,15 @@
         self.signature = now
         told = self.told()
         if told is not None:
-            for name in told.out ^ self.shared.out:
-                self.apply(name, name in told.out, told.back.get(name, 0.0))
-            for name, at in told.back.items():
-                if name not in told.out and at > self.shared.back.get(name, 0.0):
-                    self.apply(name, False, at)
-            self.shared = told
+            self.take(told)
+
+    def take(self, told: state.Shared) -> None:
+        for name in told.out ^ self.shared.out:
+            self.apply(name, name in told.out, told.back.get(name, 0.0))
+        for name, at in told.back.items():
+            if name not in told.out and at > self.shared.back.get(name, 0.0):
+                self.apply(name, False, at)
+        self.shared = told
 
     def told(self) -> state.Shared | None:
         try:
@@ -66,20 +71,21 @@
             say("upgrade", f"{state.NAME} is left aside, and what is held here goes on: {bad}")
             return None
 
-    def change(self, how: Callable[[state.Shared], None]) -> None:
-        """Changes the file and what is held here. OSError where it cannot be written; then nothing has changed."""
+    async def change(self, how: Callable[[state.Shared], None]) -> None:
+        """Changes the file and what is held here. OSError where it cannot be written; then nothing has changed.
+
+        Danger: replaced in the loop, on a disk that others were syncing, it held up all clients for up to 2 s (found
+        on the stage)."""
         if not self.folder:
             how(self.shared)
             return
-        with state.locked(self.folder):
-            self.follow()
-            new = state.Shared(set(self.shared.out), dict(self.shared.back), dict(self.shared.seen))
-            how(new)
-            new.seen.update(dict.fromkeys(self.instances.all))
+        async with self.changing:
             had, oldest = len(self.instances.all), self.clock.now() - KEPT_MS
-            new.back = {name: at for name, at in new.back.items() if at > oldest}
-            state.write(self.folder, new)
-            self.signature, self.shared, self.had = state.signature(self.folder), new, had
+            told, new, signature = await asyncio.to_thread(
+                state.exchange, self.folder, how, self.shared, list(self.instances.all), oldest)
+            if told is not None:
+                self.take(told)
+            self.signature, self.shared, self.had = signature, new, had
 
     async def call(self, name: str, out: bool) -> str:
         """Out, or back. Returns why not; empty once nothing that is decided or queued here goes against it."""
@@ -94,7 +100,7 @@
         for left in reversed(range(TRIES)):
             before = name in self.shared.out
             try:
-                self.change(how)
+                await self.change(how)
                 break
             except OSError as bad:
                 if not left:
--- a/glenrock/upgrade/state.py
+++ b/glenrock/upgrade/state.py
@@ -10,7 +10,7 @@
 import fcntl
 import json
 import os
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -86,6 +86,25 @@
     os.replace(path, os.path.join(folder, NAME))
 
 
+def exchange(folder: str, how: Callable[[Shared], None], held: Shared, seen: list[str], oldest: float
+             ) -> tuple[Shared | None, Shared, Signature | None]:
+    """Under the lock: what the other process has written (None: nothing that can be used), what stands there now, and
+    its signature. From a thread: a disk may take seconds. OSError where it cannot be written; nothing has changed then.
+    """
+    with locked(folder):
+        try:
+            told = read(folder)
+        except ValueError:
+            told = None
+        base = told or held
+        new = Shared(set(base.out), dict(base.back), dict(base.seen))
+        how(new)
+        new.seen.update(dict.fromkeys(seen))
+        new.back = {name: at for name, at in new.back.items() if at > oldest}
+        write(folder, new)
+        return told, new, signature(folder)
+
+
 @contextlib.contextmanager
 def locked(folder: str) -> Iterator[None]:
     """One process at a time changes the file. OSError where the other one has it now; it never keeps it long, and
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import signal
 import sqlite3
@@ -210,7 +211,7 @@
             claim.answer(boottime_us(), e.request, granted)
     if (term := claim.holds(boottime_us())) is not None:
         number += 1
-        time.sleep(0.004)  # between check and write lies time in which a process may be stopped
+        time.sleep(0.02)  # between check and write lies time in which a process may be stopped
         ok = store.put("job", name, term, number, {f"{name} {number} {until}": name})
         out.write(f"{boottime_us()} {name} {term} {number} {int(ok)}\\n")
     time.sleep(0.002)
@@ -232,7 +233,9 @@
     try:
         time.sleep(1.0)
         while time.monotonic() < until - 1.0:
-            name = draw.choice(sorted(workers))
+            with contextlib.closing(SqliteStore(db)) as store:
+                holder = store.lease("job").holder.partition("/")[0]
+            name = holder if holder and draw.random() < 0.6 else draw.choice(sorted(workers))
             if draw.random() < 0.3:
                 workers[name].kill()
                 workers[name].wait()
--- a/tests/fleet/test_together.py
+++ b/tests/fleet/test_together.py
@@ -89,7 +89,8 @@
     st.builds(wire.Known, job, st.tuples(number, number), st.booleans(), server),
     st.builds(wire.Want, job, number, st.tuples(number, number), st.booleans()),
     st.builds(wire.Say, job, number, number, st.tuples(number, number), st.booleans(), server),
-    st.builds(wire.Taken, job, st.booleans(), number, number, number, st.tuples(number, number), server))
+    st.builds(wire.Taken, job, st.booleans(), number, number, number, st.tuples(number, number), number,
+              server))
 
 
 @given(messages, st.data())
@@ -124,7 +125,7 @@
         self.now, self.calls = 0, 0
         self.jobs = [f"j{n}" for n in range(jobs)]
         self.rosters = [Heard(n, range(count), 0) for n in range(count)]
-        self.all = [Holdings(r, RULES, self.jobs, 100_000) for r in self.rosters]
+        self.all = [Holdings(r, RULES, self.jobs, 200_000) for r in self.rosters]
         self.leases: dict[str, tuple[int, int, int]] = {}  # job: holder, term, until
         self.still: set[int] = set()
 
--- a/tests/stage/test_owner.py
+++ b/tests/stage/test_owner.py
@@ -70,8 +70,9 @@
     return h
 
 
-def effect(at_ms: int, term: int, number: int, ok: bool = True, who: str = "balancer:1") -> tuple:
-    return at_ms, who, "effect", {"job": "bans", "term": term, "number": number, "ok": ok, "seen": 5}
+def effect(at_ms: int, term: int, number: int, ok: bool = True, who: str = "balancer:1", order: int = 0) -> tuple:
+    return at_ms, who, "effect", {"job": "bans", "term": term, "number": number, "ok": ok, "seen": 5,
+                                  "order": order or at_ms}
 
 
 def away(n: int, *at_ms: int) -> list[tuple]:
@@ -88,6 +89,9 @@
 @pytest.mark.parametrize("events, broken", [
     ([effect(1, 4, 1), effect(2, 5, 1), effect(3, 5, 2), effect(4, 4, 9, ok=False)], ""),
     ([effect(1, 5, 1), effect(2, 4, 7)], "terms"), ([effect(1, 5, 1), effect(2, 5, 1)], "terms"),
+    ([effect(1, 5, 1, order=2), effect(2, 4, 7, order=1)], ""), ([effect(1, 4, 1, order=2), effect(2, 5, 1, order=1)],
+                                                                   "terms"),
+    ([effect(1, 5, 1), (2, "balancer:1", "started", {}), effect(3, 4, 7, order=1)], "terms"),
     ([effect(1, 5, 1), effect(2, 4, 7, who="balancer:2")], ""),
     ([*away(1, 100, 300, 500), *away(2, 900, 1100)], ""), ([*away(1, 100, 300), *away(2, 350, 500)], ""),
     ([*away(1, 100, 300, 500), *away(2, 400, 600)], "tickets"), ([*away(1, 100), *away(2, 100)], "tickets"),
