--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -33,7 +33,7 @@
     from ..__main__ import Program
 
 S = 1_000_000
-TURN_S = 0.05  # between two looks at the clock; renewals come long before an end
+TURN_PART, SHORTEST_S = 0.0125, 0.02  # of a lease, between two looks at the clock; renewals come long before an end
 LOOK_PART = 0.2  # of a lease, between two looks at who holds what
 ALL_EACH = 5  # of these looks one is at every job, not at those alone that are this one's to take
 STEP_PART = LOOK_PART  # of a lease, between two members' asking for one free job: with less, who looks first were first
@@ -157,7 +157,7 @@
                 self.run(self.ask(asks))
             self.wakes.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.wakes.wait(), TURN_S)
+                await asyncio.wait_for(self.wakes.wait(), max(SHORTEST_S, self.rules.lease * TURN_PART / S))
 
     async def ask(self, asks: Asks) -> None:
         try:
--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -24,7 +24,7 @@
 MARK_S = 1.0
 WATCH_S = 10.0
 MOST_KNOWN = 64  # words told to an owner that lacks some, each second
-TURN_S, IDLE_S = 0.04, 0.2  # an owner's round, and others'
+TURN_S, IDLE_S = 0.08, 0.5  # an owner's round, and others'
 CONFIRM_MS = 700.0  # an operator waits so long for the word to be numbered: answers are due within 1 s
 
 
--- a/glenrock/fleet/ownership/sqlite_store.py
+++ b/glenrock/fleet/ownership/sqlite_store.py
@@ -33,7 +33,7 @@
                                  PRIMARY KEY (job, term));
 """
 KEPT = 50  # past terms of a job
-LOOK_S = 0.05  # between two looks whether the file has changed: a read of shared memory
+LOOK_S = 0.1  # between two looks whether the file has changed: a read of shared memory
 
 
 def boottime_us() -> int:
--- a/glenrock/fleet/probing.py
+++ b/glenrock/fleet/probing.py
@@ -60,7 +60,8 @@
     async def turn(self) -> None:
         instances = self.fleet.program.instances
         while True:
-            self.shards.listed(n for n in instances.listed())
+            warm = self.fleet.clock.now() - self.fleet.program.config.settings.cold_us / 1000
+            self.shards.listed(n for n in instances.listed() if instances.all[n].entry.since_ms <= warm)
             for server in self.shards.due(boottime_us()):
                 self.ask(server)
             for data in self.shards.datagrams():
--- a/glenrock/lab/shards.py
+++ b/glenrock/lab/shards.py
@@ -41,7 +41,8 @@
         if not host.up:
             return
         mine = self.shards(host)
-        mine.listed(host.known)
+        cold_us = self.day.e.rules.cold_s * 1_000_000
+        mine.listed(n for n in host.known if n in host.last and now - host.last[n].started_us >= cold_us)
         for server in mine.due(now):
             self.day.probe_now(host, server)
         for data in mine.datagrams():
