Carry out at a start what was written down before a death; drop what nothing uses

Seen on reading the change: a balancer killed between writing down that a server is back and carrying that out kept it out after its restart, since the operators' file said so and the start looked at what it had done itself alone (bans.py, start). Ruled out: the board and the judge's agreement, which look at words and not at rotation. The start now begins with what the operators' file says; the test fails without it. Two constants and a function that only tests called are gone.

--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -50,6 +50,10 @@
         self.unsettled = asyncio.Event()
 
     def start(self) -> None:
+        # Danger: a process that died between writing a word down and carrying it out left another state in the
+        # operators' file; a server that was called back then would stay out here for ever.
+        if operators := self.fleet.program.operators:
+            self.applied = dict.fromkeys(operators.agreement.shared.out, True)
         self.apply(dict.fromkeys(self.board.words, False) | {s: True for s in self.board.words if self.board.out(s)})
         for work in (self.follow, self.own, self.post, self.settle):
             self.fleet.run(work())
--- a/glenrock/fleet/ownership/store.py
+++ b/glenrock/fleet/ownership/store.py
@@ -12,7 +12,6 @@
 
 from .claim import Ask
 
-LONGEST_KEY = 400  # characters of a job, a record's key or a wish
 NO_TIME = -1  # of a lease, where the store does not tell how much of it is left
 
 
--- a/glenrock/fleet/roster.py
+++ b/glenrock/fleet/roster.py
@@ -47,13 +47,8 @@
     return x ^ x >> 29
 
 
-def ranked(key: str, members: Iterable[int]) -> list[int]:
-    """Members in their order for this piece of work; who joins or goes changes nobody else's place in it."""
-    code = hashed(key)
-    return sorted(members, key=lambda m: place(m, code))
-
-
 def first(key: str, members: Iterable[int]) -> int:
+    """The member that a piece of work is for; who joins or goes changes nobody else's place in its order."""
     code = hashed(key)
     return min(members, key=lambda m: place(m, code))
 
--- a/glenrock/stage/judge_together.py
+++ b/glenrock/stage/judge_together.py
@@ -16,7 +16,6 @@
 
 REACHED_MS = 1000  # a ban told once reaches every balancer that can be reached
 LOOK_GAP_MS = 600  # looks of the front at one balancer come closer than this while it is away
-CUT_KINDS = ("pause", "kill", "way", "store_fault", "strikes")
 
 
 def terms(h: History, figures: Figures, v: Verdict) -> None:
--- a/tests/fleet/test_together.py
+++ b/tests/fleet/test_together.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from glenrock.fleet import config, wire
+from glenrock.fleet.bans import Bans
 from glenrock.fleet.jobs.board import Board, Telling, Word, life_key, parted, wish_of, word_of
 from glenrock.fleet.jobs.words import EVERY_US, Shards, load_of, stepped
 from glenrock.fleet.kept import Kept
@@ -17,7 +20,7 @@
 from glenrock.fleet.ownership.fence import Fence
 from glenrock.fleet.ownership.holdings import Holdings
 from glenrock.fleet.ownership.store import Lease
-from glenrock.fleet.roster import SILENT_US, Heard, ranked
+from glenrock.fleet.roster import SILENT_US, Heard, first, hashed, place, rank
 from glenrock.toml_file import BadFile
 from wheatrouter.beliefs import FRESH_US
 
@@ -118,6 +121,12 @@
 RULES = Rules(lease=1_000_000, drift=0.02, ask_within=300_000, again=100_000, wary=200_000)
 
 
+def ranked(key: str, members: range) -> list[int]:
+    order = sorted(members, key=lambda m: place(m, hashed(key)))
+    assert first(key, members) == order[0] and [rank(key, m, members, 99) for m in order] == list(members)
+    return order
+
+
 class Members:
     """Members on one store in simulated time. `dead` do nothing; `asleep` neither, and wake."""
 
@@ -311,3 +320,25 @@
     assert config.load(deploy / "fleet.toml").jobs.turnstile == 1
     platform = (deploy / "balancer.toml").read_text()
     assert "fleet" not in platform, "what balancers do together is off in run"
+
+
+def test_a_word_that_was_written_down_and_not_carried_out_is_carried_out_at_the_next_start() -> None:
+    done = []
+
+    async def call(server: str, out: bool) -> str:
+        done.append((server, out))
+        return ""
+
+    tasks: list = []
+    agreement = SimpleNamespace(shared=SimpleNamespace(out={"back", "alone"}), call=call)
+    board = Board()
+    board.take("back", Word(False, (1, 1)))
+    board.take("out", Word(True, (1, 2)))
+    board.take("never", Word(False, (1, 3)))
+    fleet = SimpleNamespace(board=board, hands={}, on_event=[], run=tasks.append,
+                            program=SimpleNamespace(operators=SimpleNamespace(agreement=agreement)))
+    Bans(fleet).start()
+    asyncio.run(tasks.pop(0))
+    for t in tasks:
+        t.close()
+    assert sorted(done) == [("back", False), ("out", True)], "what was taken out here alone is left as it is"
