Post an operator's word again until it is numbered: a store may forget it too

Ruled out: words and terms (all five files hold the same words and lives), an owner that passed it over (no wish stood in the store). A wish that is not numbered is posted again each 2 s, in the order of its life; the owner drops what had counted. The test runs into its time limit without the change.

--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -23,6 +23,7 @@
 JOB = "bans"
 MARK_S = 1.0
 WATCH_S = 10.0
+REPOST_S = 2.0
 MOST_KNOWN = 64  # words told to an owner that lacks some, each second
 TURN_S, IDLE_S = 0.08, 0.5  # an owner's round, and others'
 CONFIRM_MS = 700.0  # an operator waits so long for the word to be numbered: answers are due within 1 s
@@ -33,7 +34,7 @@
         self.fleet, self.board = fleet, fleet.board
         self.telling = Telling()
         self.count = self.sent = self.order = 0
-        self.posted: set[str] = set()
+        self.posted: dict[str, float] = {}  # wishes, and when last, on the loop's clock
         self.ready = False  # owner, and all records read
         self.number = 0  # of records, in this term
         self.asked_all: tuple[int, int] | None = None  # digests when all was asked for last
@@ -153,16 +154,18 @@
         while True:
             self.news.clear()
             for id_, w in list(self.board.wishes.items()):
-                if id_ in self.posted:
+                # Danger: a store that goes back in time forgets a wish too. One that is not numbered is posted again; one
+                # that was is dropped by the owner, by its life's count.
+                if asyncio.get_running_loop().time() - self.posted.get(id_, -REPOST_S) < REPOST_S:
                     continue
                 try:
                     await self.fleet.store.post(JOB, id_, w.value())
                 except StoreDown as bad:
                     self.fleet.down(bad)
                     break
-                self.posted.add(id_)
+                self.posted[id_] = asyncio.get_running_loop().time()
                 self.due.set()  # a store does not tell us of our own change
-            self.posted &= self.board.wishes.keys()
+            self.posted = {id_: at for id_, at in self.posted.items() if id_ in self.board.wishes}
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.news.wait(), 0.5)
 
--- a/tests/fleet/test_together.py
+++ b/tests/fleet/test_together.py
@@ -342,3 +342,27 @@
     for t in tasks:
         t.close()
     assert sorted(done) == [("back", False), ("out", True)], "what was taken out here alone is left as it is"
+
+
+def test_a_wish_is_posted_again_until_it_is_numbered_and_in_the_order_of_its_life(monkeypatch) -> None:
+    monkeypatch.setattr("glenrock.fleet.bans.REPOST_S", 0.3)
+    posts: list[str] = []
+
+    async def post(job: str, id_: str, value: str) -> None:
+        posts.append(id_)
+
+    async def work() -> None:
+        fleet = SimpleNamespace(board=Board(), hands={}, on_event=[], store=SimpleNamespace(post=post))
+        bans = Bans(fleet)
+        fleet.board.wish("n/1#1", "s", True)
+        fleet.board.wish("n/1#2", "t", True)
+        task = asyncio.create_task(bans.post())
+        while len(posts) < 4:  # a store that forgets them: posted once, nobody would ever number them
+            await asyncio.sleep(0.05)
+        fleet.board.numbered("n/1", 2)
+        before = len(posts)
+        await asyncio.sleep(0.7)
+        assert posts[:4] == ["n/1#1", "n/1#2"] * 2 and len(posts) == before
+        task.cancel()
+
+    asyncio.run(asyncio.wait_for(work(), 20))
