--- a/glenrock/fleet/bans.py
+++ b/glenrock/fleet/bans.py
@@ -154,8 +154,8 @@
         while True:
             self.news.clear()
             for id_, w in list(self.board.wishes.items()):
-                # Danger: a store that goes back in time forgets a wish too. One that is not numbered is posted again; one
-                # that was is dropped by the owner, by its life's count.
+                # Danger: a store that goes back in time forgets a wish too. One that is not numbered is posted again;
+                # one that was is dropped by the owner, by its life's count.
                 if asyncio.get_running_loop().time() - self.posted.get(id_, -REPOST_S) < REPOST_S:
                     continue
                 try:
