Hold part of a line back, and move clients without shutting a side

What came in that instant, half a line, was passed on; its rest never came; the client stood within a line and was reset after 500 ms. Lines at fault: begin_move's shutdown(SHUT_RD), and pump_down passing on what is not a whole line.

Change: whole lines only go on; a part waits for its rest (all there is of a line that is too long goes on as before). A move stops the pump, which never loses bytes while it waits, and sends MOVE. The instance's side is closed only when no pump waits to write there; a pump that ended with it is started again, so that the client's bytes are read to its end. Relays that hold a part are moved at an upgrade, not handed over, so both versions understand each other.

--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -42,6 +42,7 @@
     OVERDUE = "overdue"
 
 
+ENDINGS = {"BYE": "served", "MOVE": "cancelled", "ERR": "error"}  # an instance's last words, and how the relay ended
 CLIENT_ENDS = (Ended.CLIENT_FIN, Ended.CLIENT_RST, Ended.TOO_EARLY)
 
 
@@ -77,6 +78,7 @@
         self.counted = False  # in the figures
         self.ended = False  # it has had its last word, or is about to
         self.splitter = lines.Splitter()
+        self.passed = False  # part of a line has been passed on to the client, and its end has not
         self.asked_at: float | None = None  # the oldest client line that nothing has answered
         self.moving = ""  # the verdict of a move that is under way
         self.idle = self.idle_up = False  # the down pump waits for the instance, the other one for the client
@@ -257,36 +259,55 @@
 
     async def pump_down(self, loop: asyncio.AbstractEventLoop) -> None:
         """Instance to client, and what the lines tell the module."""
-        inst, chunk, ended = self.execution.sock, self.execution.first, Ended.INSTANCE_FIN
+        inst, chunk, ended = self.execution.sock, self.cut(self.execution.first), Ended.INSTANCE_FIN
         self.execution.first = b""
         buffer = bytearray(BUFFER)
         try:
             while True:
                 if chunk:
-                    self.learn(self.splitter.feed(chunk))
                     try:
                         await loop.sock_sendall(self.sock, chunk)
                     except OSError:
                         return  # the client's end is told by the other pump
                     self.up.set()
-                if self.moving and self.splitter.between:
+                if self.moving and not self.passed:
                     ended = Ended.BETWEEN_LINES
                     break
                 self.idle = True
                 count = await recv_into(loop, inst, buffer)
                 self.idle = False
-                if not count:
-                    if not self.moving:
-                        break
-                    if self.splitter.between:
-                        ended = Ended.BETWEEN_LINES
-                        break
-                    await self.clock.sleep(10)  # woken for a move within a line: its end is on its way
-                chunk = bytes(buffer[:count])
+                if count:
+                    chunk = self.cut(bytes(buffer[:count]))
+                elif not (chunk := self.rest()):
+                    break
         except OSError:
             ended = Ended.INSTANCE_RST
         self.mailbox.put(ended)
 
+    def cut(self, chunk: bytes) -> bytes:
+        """What of these bytes and those held may be passed on now: whole lines, and all there is of one too long.
+
+        Danger: whoever passed on a part of a line could not move the client while its instance hangs in the middle of
+        it. MOVE would be read as the rest of that line.
+        """
+        data = self.held() + chunk
+        self.learn(self.splitter.feed(chunk))
+        at = data.rfind(b"\n") + 1
+        if self.splitter.overlong or self.passed and not at:
+            at = len(data)
+        if at:
+            self.passed = data[at - 1:at] != b"\n"
+        return data[:at]
+
+    def held(self) -> bytes:
+        """The part of a line that the client has nothing of."""
+        return b"" if self.passed else self.splitter.part
+
+    def rest(self) -> bytes:
+        """What is held, where the instance has ended within a line: an end comes in kind."""
+        data, self.passed = self.held(), True
+        return data
+
     def learn(self, whole: list[bytes]) -> None:
         now = self.clock.now()
         for line in whole:
@@ -303,33 +324,41 @@
         while True:
             mail = await self.mailbox.next()
             if isinstance(mail, Move):
-                self.begin_move(mail.verdict)
+                if self.begin_move(mail.verdict):
+                    await self.end_with(Ended.BETWEEN_LINES)
+                    return
             elif isinstance(mail, HandOver):
                 if await self.hand_over(mail.give):
                     return
             elif mail is Ended.OVERDUE and self.moving:
                 # No line end came. Within a line MOVE would be read as part of it: a reset instead.
-                whole = self.idle and self.splitter.between
-                await self.end_with(Ended.BETWEEN_LINES if whole else Ended.INSTANCE_RST)
+                await self.end_with(Ended.BETWEEN_LINES if self.may_move() else Ended.INSTANCE_RST)
                 return
             elif isinstance(mail, Ended) and mail is not Ended.OVERDUE:
                 await self.end_with(mail)
                 return
 
-    def begin_move(self, verdict: str) -> None:
-        if self.moving:
-            return
-        self.moving = verdict
-        self.clock.call_at(self.clock.now() + LINGER_MS / 2, self.mailbox.put, Ended.OVERDUE)
-        if self.idle and self.splitter.between:
-            # Wakes the down pump, which alone writes to the client. What lies unread is still passed on.
-            with contextlib.suppress(OSError):
-                self.execution.sock.shutdown(socket.SHUT_RD)
+    def may_move(self) -> bool:
+        """The client stands between two lines, and nothing that was read is on its way to it."""
+        return self.idle and not self.passed
+
+    def begin_move(self, verdict: str) -> bool:
+        """Whether the client can be moved now. Else the down pump says so once it can be, or it is cut off.
+
+        Danger: the instance's side must not be shut to wake the pump. What comes in that instant was passed on, half a
+        line among it, and its rest never came: the client was cut off (70 of 556 of a short day).
+        """
+        if not self.moving:
+            self.moving = verdict
+            if self.may_move():
+                return True
+            self.clock.call_at(self.clock.now() + LINGER_MS / 2, self.mailbox.put, Ended.OVERDUE)
+        return False
 
     def still(self) -> bool:
         """Up, and both pumps wait with nothing read that is not written: another process may go on from here."""
         return (self.up.is_set() and not self.moving and not self.ended and self.idle and self.idle_up
-                and not any(task.done() for task in self.tasks))
+                and not self.held() and not any(task.done() for task in self.tasks))
 
     async def hand_over(self, give: Callable[[Command], Awaitable[bool]]) -> bool:
         self.offered = False
@@ -367,19 +396,30 @@
 
     async def hand_back(self) -> None:
         await self.stop_pumps(1)
-        self.close_instance()
+        line = self.parting()
+        await self.leave_instance()
         self.tell_end(self.moving)
-        await self.finish(lines.MOVE)
+        await self.finish(line)
+
+    def parting(self) -> bytes:
+        """MOVE, and before it the whole lines that came at the last moment. An instance that ended meanwhile has had
+        its last word: nothing is added to it."""
+        try:
+            data = self.cut(self.execution.sock.recv(BUFFER))
+        except OSError:
+            return lines.MOVE
+        if self.passed:  # the client has not: it goes without
+            return lines.MOVE
+        return data if data and self.last_word in ENDINGS else data + lines.MOVE
 
     async def end_with(self, mail: Ended) -> None:
         """Passes an end on in kind, within a second."""
         self.ended = True
-        words = {"BYE": "served", "MOVE": "cancelled", "ERR": "error"}
         if mail is Ended.BETWEEN_LINES:
             await self.hand_back()
         elif mail is Ended.INSTANCE_FIN:
-            self.tell_end(words.get(self.last_word, "broken"))
-            self.close_instance()
+            self.tell_end(ENDINGS.get(self.last_word, "broken"))
+            await self.leave_instance()
             await self.finish(b"")
         elif mail is Ended.INSTANCE_RST:
             self.tell_end("broken")
@@ -418,6 +458,20 @@
             sock, self.execution.sock = self.execution.sock, None
             end(sock, reset)
 
+    async def leave_instance(self) -> None:
+        """Closes the instance's side, while the client's end is still looked out for.
+
+        Danger: the up pump may wait for room at an instance that hangs, or have ended with it. Nobody would read what
+        the client sends then, and a close over it takes the client's last line along.
+        """
+        if self.idle_up:
+            self.close_instance()
+            return
+        await self.stop_pumps(0)
+        self.close_instance()
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self.pump_up(loop))]
+
     async def close(self) -> None:
         await self.stop_pumps(0)
         await self.abandon()
--- a/glenrock/upgrade/handover.py
+++ b/glenrock/upgrade/handover.py
@@ -73,6 +73,7 @@
     tune(instance)
     command = Command(server, client, opened)
     command.splitter.part, command.splitter.overlong = raw["part"].encode("latin-1"), raw["overlong"]
+    command.passed = not command.splitter.between  # a relay that holds part of a line back is never handed over
     command.asked_at, command.last_word, command.load = raw["asked_at"], raw["word"], max(0, raw["load"])
     command.take_over(raw["instance"], instance)
     return command
