Mend what a request, an answer, a close or a signal meets between two lines

Faults and their mends: - A standing connection was tried again by a timer after its client had left; a decision taken in the turn in which a command closed still launched an attempt. Nothing is launched once a command has quit (command.quit). - A full mailbox dropped the client's end or an answer; these are delivered however full it is. - An UP and a refusal in one turn: the relay stood, unknown to the module, and was moved by nobody. Now it is told. The other way round, the attempt is closed before its client hears that it was refused. - At the end, and in a drain by hand, all who waited were told BUSY, that coming again is harmless. Of an unsafe class whose attempt may have run it is not: ERR there. - The last connections in the listening queue were reset with their requests; they are taken and told BUSY. Who rests until the end is told too, and a request that comes in that instant has its answer. So is one that comes in the instant in which a resting connection is given up after 10 s: it was read by a callback and lost. - PING and OPEN in one piece were answered ERR. - A write of a line that was stopped counted as never sent; it may have run. - A probe on a connection that the instance had closed while idle counted against its reach; it is asked anew. - A repeat within a window could be written after it, where its connection came up late: its attempt ends with it. - A pushed list: a silent watch was noticed after 12.5 s, 0.5 s after what it missed counts as told, and retries came up to a second apart. An agent answers at once and at no cost, so a watch waits half of the time that drains leave (0.4 to 3 s), 0.4 s of silence is enough, and until it answers it is asked for what it has. Lists that are asked for keep their 10 s and 2.5 s: there each new watch costs a turn of the one service.

Ruled out, with a test for each: a client that leaves while its attempt is queued, is being connected, or lies between two attempts in the turn of the first one's answer; a client moved while the way to its instance is full.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -88,7 +88,8 @@
         self.decider = Decider(config.settings, config.seed, clock)
         counts = Counts(c.name for c in config.settings.classes)
         self.instances = Instances(clock, config.settings.dial_timeout_us / 1000, self.decider.post, counts)
-        pace = Pace(config.settings.balancers, config.settings.must_ask, random.Random(config.seed ^ 1))
+        pace = Pace(config.settings.balancers, config.settings.must_ask, random.Random(config.seed ^ 1),
+                    config.settings.drain_grace_us / 1000)
         self.table = NameTable(config.discovery, clock, self.instances.update,
                                lambda: self.decider.post(io.ServerList("failed")), pace)
         self.server = CommandServer(self.decider, self.instances, clock, config.sockets,
--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -57,6 +57,13 @@
     verdict: str
 
 
+@dataclass(frozen=True)
+class Dismiss:
+    """It is to have its answer now: the process ends, or sends its clients away."""
+
+    retry_after_ms: float
+
+
 @dataclass(frozen=True)
 class HandOver:
     give: Callable[[Command], Awaitable[bool]]  # true once another process has taken the relay
@@ -75,6 +82,7 @@
         self.attempt = -1
         self.up = asyncio.Event()
         self.over = False  # the module hears no more of it
+        self.quit = False  # nothing is sent on for it any more
         self.counted = False  # in the figures
         self.ended = False  # it has had its last word, or is about to
         self.splitter = lines.Splitter()
@@ -90,6 +98,9 @@
     # -- what the module's actions do (decider.Command) ------------------------------------------------
 
     def execute(self, instance: str, timeout_ms: float) -> None:
+        """Danger: the module decides for clients that have left meanwhile, and for those that have had an answer."""
+        if self.quit:
+            return
         self.attempt += 1
         self.launch(instance, timeout_ms, False)
 
@@ -98,15 +109,17 @@
             self.execution.withdraw()
 
     def nack(self, retry_after_ms: float) -> None:
-        self.mailbox.put(lines.nack(retry_after_ms))
+        self.mailbox.deliver(lines.nack(retry_after_ms))
 
     def fail(self) -> None:
-        self.mailbox.put(lines.FAILED)
+        self.mailbox.deliver(lines.FAILED)
 
     def move(self) -> None:
         self.mailbox.put(Move("cancelled"))
 
     def launch(self, name: str, timeout_ms: float, insist: bool) -> None:
+        if self.quit:  # a standing one is tried again by a timer, whatever has become of its client
+            return
         self.name = name
         x = self.execution = Execution(self.opened.line, timeout_ms, self.answered, insist)
         instance = self.server.instances.get(name)
@@ -114,7 +127,7 @@
             self.answered(x, Outcome(End.NOT_SENT, Reach.NOT_CONNECTED))
 
     def answered(self, x: Execution, outcome: Outcome) -> None:
-        self.mailbox.put(Answered(x, outcome))
+        self.mailbox.deliver(Answered(x, outcome))
 
     # -- before UP -----------------------------------------------------------------------------------
 
@@ -133,7 +146,7 @@
                 self.launch(standing, STANDING_MS, True)
             else:
                 # Guards against a module that failed: its own timer answers some milliseconds before `d`.
-                guard = self.clock.call_at(self.deadline + GUARD_MS, self.mailbox.put, Ended.OVERDUE)
+                guard = self.clock.call_at(self.deadline + GUARD_MS, self.mailbox.deliver, Ended.OVERDUE)
                 if not self.decider.post(self.request()):
                     self.over = True
                     self.nack(1000.0)
@@ -153,20 +166,26 @@
             mail = await self.mailbox.next()
             if isinstance(mail, bytes):
                 self.over = True
-                await self.finish(mail)
+                await self.refuse(mail)
+                return False
+            if isinstance(mail, Dismiss):
+                # Danger: to be refused says that coming again is harmless. Of an attempt that may have run it is not.
+                harmless = standing is None and self.decider.may_refuse(self.opened.id)
+                self.gone()
+                await self.refuse(lines.nack(mail.retry_after_ms) if harmless else lines.FAILED)
                 return False
             if mail is Ended.OVERDUE:
                 say("overdue", f"{self.opened.id} had no decision in time")
                 self.gone()
-                await self.finish(lines.FAILED)
+                await self.refuse(lines.FAILED)
                 return False
             if isinstance(mail, Ended):
+                self.quit = True
                 if standing is None:
                     self.gone()
                 if mail is Ended.TOO_EARLY:
                     say("first line", f"{self.opened.id} sent bytes before its answer: failed")
-                    await self.abandon()
-                    await self.finish(lines.FAILED)
+                    await self.refuse(lines.FAILED)
                 self.count("left")
                 return False
             if isinstance(mail, Answered) and mail.execution is self.execution:
@@ -177,7 +196,7 @@
                     self.report(mail.outcome.verdict, False, mail.outcome.report)
                 elif self.clock.now() > self.arrived + (
                         STANDING_MS if self.server.instances.get(standing) else UNKNOWN_MS):
-                    await self.finish(lines.FAILED)
+                    await self.refuse(lines.FAILED)
                     return False
                 else:
                     self.clock.call_at(self.clock.now() + AGAIN_MS, self.launch, standing, STANDING_MS,
@@ -207,6 +226,12 @@
             self.counted = True
             self.server.counts.add(outcome, self.opened.fields["c"])
 
+    async def refuse(self, line: bytes) -> None:
+        """Its answer, where it is not up. The attempt that is out ends first: its client comes again at once."""
+        self.quit = True
+        await self.abandon()
+        await self.finish(line)
+
     async def finish(self, line: bytes) -> None:
         """The one final answer. Then the client's end is awaited: a close with its bytes unread would reset
         the connection and the answer with it."""
@@ -255,7 +280,7 @@
             raise
         finally:
             if ended:
-                self.mailbox.put(ended)
+                self.mailbox.deliver(ended)
 
     async def pump_down(self, loop: asyncio.AbstractEventLoop) -> None:
         """Instance to client, and what the lines tell the module."""
@@ -282,7 +307,7 @@
                     break
         except OSError:
             ended = Ended.INSTANCE_RST
-        self.mailbox.put(ended)
+        self.mailbox.deliver(ended)
 
     def cut(self, chunk: bytes) -> bytes:
         """What of these bytes and those held may be passed on now: whole lines, and all there is of one too long.
@@ -327,6 +352,14 @@
                 if self.begin_move(mail.verdict):
                     await self.end_with(Ended.BETWEEN_LINES)
                     return
+            elif isinstance(mail, Dismiss):
+                if self.begin_move("cancelled"):
+                    await self.end_with(Ended.BETWEEN_LINES)
+                    return
+            elif isinstance(mail, bytes):
+                # It was refused or failed just as it came up, and the module has forgotten it. It stands all the same.
+                self.attempt = 0
+                self.decider.post(io.OpenConnection(self.request(), self.name))
             elif isinstance(mail, HandOver):
                 if await self.hand_over(mail.give):
                     return
@@ -352,7 +385,7 @@
             self.moving = verdict
             if self.may_move():
                 return True
-            self.clock.call_at(self.clock.now() + LINGER_MS / 2, self.mailbox.put, Ended.OVERDUE)
+            self.clock.call_at(self.clock.now() + LINGER_MS / 2, self.mailbox.deliver, Ended.OVERDUE)
         return False
 
     def still(self) -> bool:
@@ -473,13 +506,17 @@
         self.tasks = [loop.create_task(self.pump_up(loop))]
 
     async def close(self) -> None:
+        self.quit = True
         await self.stop_pumps(0)
         await self.abandon()
         self.close_instance()
         end(self.sock)
 
     async def abandon(self) -> None:
+        """Ends the attempt that is out, one that still lies with its instance's actor too."""
         x = self.execution
-        if x and not self.up.is_set() and x.task and not x.task.done():
+        if x and not self.up.is_set():
             x.withdraw()
-            await asyncio.wait([x.task])
+            if x.task and not x.task.done():
+                await asyncio.wait([x.task])
+            self.close_instance()
--- a/glenrock/net/decider.py
+++ b/glenrock/net/decider.py
@@ -54,6 +54,11 @@
         flow = self.balancer.flows.get(id_)
         return int(flow.load) if flow else 0
 
+    def may_refuse(self, id_: str) -> bool:
+        """Whether its client may be told to come again; true for what the module does not have yet."""
+        flow = self.balancer.flows.get(id_)
+        return flow is None or self.balancer.may_refuse(flow)
+
     def order(self, event: io.Event) -> None:
         self.orders.append(event)
         self.mailbox.wake()
--- a/glenrock/net/entrance.py
+++ b/glenrock/net/entrance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 import traceback
@@ -12,8 +13,9 @@
 from ..config import Address
 from ..log import say
 from . import lines
-from .clock import Clock
+from .clock import Clock, Limit
 from .instance import tune
+from .readiness import recv_into
 
 FIRST_LINE_MS = 2000.0  # the whole first line is due by then: whoever can't be read is owed a word within 3 s
 IDLE_MS = 10_000.0  # one that was answered PONG may stay this long
@@ -21,9 +23,17 @@
 LINGER_BYTES = 65536  # and may send this much more; past that it is cut off
 AGAIN_MS = 20.0  # no connection is taken this long after one could not be
 AT_ONCE = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
+QUEUED = 4096  # connections that the system accepts before this program does
+LAST_MS = 100.0  # once no more are taken, whoever has said nothing yet has this long
+RESTED_MS = 1000.0  # who rested until it was ended comes again after this
 FEW = 16  # connections without a command that there is always room for
 
 
+def complete(data: bytes) -> bool:
+    """A first line, or more of it than a line may have."""
+    return b"\n" in data or len(data) >= lines.LONGEST
+
+
 class Commands(Protocol):
     """What a first line needs of the table of commands, whatever becomes of them."""
 
@@ -45,6 +55,8 @@
         self.unheard: dict[asyncio.Task, None] = {}
         self.answered: dict[asyncio.Task, None] = {}
         self.listener: socket.socket | None = None
+        self.waits: dict[asyncio.Task, Limit] = {}  # for a line of theirs
+        self.last = False  # no more are taken, and nobody is waited for
         self.away = False  # clients are sent away: PING is told so
         self.refuses = False  # and new commands are refused
         self.proof: Callable[[], bool] | None = None  # of the right to that; it ends it where there is none
@@ -59,7 +71,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(address)
-        sock.listen(4096)
+        sock.listen(QUEUED)
         return sock
 
     def open(self, listener: socket.socket) -> None:
@@ -69,15 +81,28 @@
         asyncio.get_running_loop().add_reader(listener, self.accept)
 
     def close(self) -> None:
-        """Takes no more. What is in the queue stays there, for whoever holds the socket too."""
+        """Takes no more. What is in the queue stays there, for whoever holds the socket too; where nobody does, it is
+        reset."""
         if self.listener:
             asyncio.get_running_loop().remove_reader(self.listener)
             self.listener.close()
             self.listener = None
 
-    def accept(self) -> None:
+    def leave_none(self) -> None:
+        """The last of it: nobody is taken, and whoever is here is told.
+
+        Danger: the machine has accepted what is in the queue, and a request in it is lost with the reset.
+        """
+        self.refuses = self.last = True
+        if self.listener:
+            self.accept(QUEUED)
+        self.close()
+        for limit in list(self.waits.values()):
+            limit.stop()
+
+    def accept(self, most: int = AT_ONCE) -> None:
         loop = asyncio.get_running_loop()
-        for _ in range(AT_ONCE):
+        for _ in range(most):
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError):
@@ -141,24 +166,32 @@
     async def first_line(self, sock: socket.socket) -> lines.Open | None:
         """The command that the client opens with; None if it has left or was turned away."""
         loop, data, pinged = asyncio.get_running_loop(), b"", False
-        buffer = bytearray(lines.LONGEST)
+        buffer, task = bytearray(lines.LONGEST), asyncio.current_task()
         while True:
-            async with self.clock.limit(IDLE_MS if pinged else FIRST_LINE_MS) as limit:
-                while b"\n" not in data and len(data) < lines.LONGEST:
-                    count = await loop.sock_recv_into(sock, buffer)
-                    if not count:
-                        return None
-                    data += buffer[:count]
+            async with self.clock.limit(LAST_MS if self.last else IDLE_MS if pinged else FIRST_LINE_MS) as limit:
+                self.waits[task] = limit
+                try:
+                    while not complete(data):
+                        count = await recv_into(loop, sock, buffer)
+                        if not count:
+                            return None
+                        data += buffer[:count]
+                finally:
+                    del self.waits[task]
             if limit.over:
-                if data or not pinged:
-                    await self.turn_away(sock, lines.FAILED)
+                # Danger: a request may have come in the instant in which its connection is given up.
+                with contextlib.suppress(BlockingIOError):
+                    data += sock.recv(lines.LONGEST)
+            if not complete(data):
+                await self.turn_away(sock, lines.nack(RESTED_MS) if pinged and not data else lines.FAILED)
                 return None
-            if data != lines.PING:
+            line, end, rest = data.partition(b"\n")
+            if line + end != lines.PING:
                 break
             self.proven()
             await loop.sock_sendall(sock, lines.FAILED if self.away else lines.PONG)
             self.has_answer()
-            data, pinged = b"", True
+            data, pinged = rest, True
         opened = lines.parse_open(data, self.commands.known)
         if isinstance(opened, lines.Open) and self.commands.knows(opened.id):
             opened = "the id of a command that is open"
--- a/glenrock/net/instance.py
+++ b/glenrock/net/instance.py
@@ -158,6 +158,7 @@
             x.reach = Reach.WRITTEN
             self.counts.relayed += 1
             return await self.answer(x, loop)
+        x.reach = Reach.WRITTEN  # a write that was stopped does not tell how much is out
         return Outcome(End.SILENT, x.reach)
 
     async def answer(self, x: Execution, loop: asyncio.AbstractEventLoop) -> Outcome:
@@ -196,10 +197,20 @@
         self.post(io.ProbeResult(self.entry.name, verdict, latency, report))
 
     async def ask(self, loop: asyncio.AbstractEventLoop) -> tuple[str, dict[str, float]]:
-        if self.probe_sock is None:
-            self.probe_sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            tune(self.probe_sock)
-            await loop.sock_connect(self.probe_sock, self.entry.address)
+        if self.probe_sock:
+            # Danger: an instance closes a connection that has been idle, perhaps just now. That is no word on its
+            # reach: held for one, a sound instance was out of use after two such ends. Asked anew, on another.
+            with contextlib.suppress(OSError):
+                verdict, report = await self.question(loop)
+                if verdict != "no_connection":
+                    return verdict, report
+            self.hang_up()
+        self.probe_sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        tune(self.probe_sock)
+        await loop.sock_connect(self.probe_sock, self.entry.address)
+        return await self.question(loop)
+
+    async def question(self, loop: asyncio.AbstractEventLoop) -> tuple[str, dict[str, float]]:
         await loop.sock_sendall(self.probe_sock, lines.STATS)
         buffer, splitter, text = bytearray(lines.LONGEST), lines.Splitter(), ""
         while True:
--- a/glenrock/net/leaving.py
+++ b/glenrock/net/leaving.py
@@ -9,9 +9,8 @@
 from wheatrouter import interface as io
 
 from ..log import say
-from . import lines
 from .clock import Clock
-from .command import Command, HandOver, Move
+from .command import Command, Dismiss, HandOver, Move
 from .command_server import CommandServer
 from .entrance import Entrance
 
@@ -100,7 +99,7 @@
     def refuse_waiting(self) -> None:
         for command in list(self.server.commands.values()):
             if not command.up.is_set() and not command.ended:
-                command.mailbox.put(lines.nack(AGAIN_MS))
+                command.mailbox.deliver(Dismiss(AGAIN_MS))
 
     async def stop(self, inherited: bool, successor: Successor | None) -> None:
         """SIGTERM: hands the relays to a successor where there is one, moves the other clients over the time there is,
@@ -131,10 +130,9 @@
         while (now := self.clock.now()) < until and (commands or self.entrance.unheard or not inherited):
             self.move_some(until - 200 - now)
             await self.clock.sleep(STEP_MS)
-        self.entrance.close()
-        self.entrance.refuses = True
+        self.entrance.leave_none()
         for command in list(commands.values()):
-            command.mailbox.put(Move("cancelled") if command.up.is_set() else lines.nack(AGAIN_MS))
+            command.mailbox.deliver(Dismiss(AGAIN_MS))
         if commands or not inherited:
             await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
 
--- a/glenrock/net/mailbox.py
+++ b/glenrock/net/mailbox.py
@@ -15,9 +15,13 @@
         """False if it is full: the sender must do without."""
         if len(self.mail) >= self.limit:
             return False
+        self.deliver(item)
+        return True
+
+    def deliver(self, item: Any) -> None:
+        """However full it is: for what comes a few times in an actor's life, and must not be lost."""
         self.mail.append(item)
         self.wake()
-        return True
 
     def wake(self) -> None:
         if self.waiter and not self.waiter.done():
--- a/glenrock/net/name_table.py
+++ b/glenrock/net/name_table.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import random
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -18,14 +17,9 @@
 from .instance import Entry, end, row_of, tune
 from .pace import Pace
 
-WAIT_MS = 10_000  # a watch waits this long for news
-# An answer may take this much longer: a call stands in line for up to 2 s where discovery is overbooked. Danger:
-# whoever gives up earlier is never heard, and its turn is lost for the others too.
-GRACE_MS = 2500
 BARE_GRACE_MS = 5000  # without any list there is nothing to do but wait, and an answer may be late on a busy machine
 OVERBOOKED = (429, 503)
 SOON_MS = 50  # the next call is due within 200 ms of an answer
-LONGEST_WAIT_MS = 1000.0  # between two calls while they fail; it must be found again within 4 s of a move
 OLDER_TIMES = 4  # an older whole list is believed when told this often in a row
 LARGEST = 4 << 20  # bytes of an answer
 
@@ -142,16 +136,21 @@
                 if isinstance(bad, Overbooked) or isinstance(bad, Late) and self.bare:
                     wait = self.pace.overbooked()
                 else:
-                    wait = min(LONGEST_WAIT_MS, 50.0 * 2 ** min(self.failures, 6)) * (0.5 + random.random() / 2)
+                    wait = self.pace.retry(self.failures)
+                if isinstance(bad, Late) and not self.pace.must_ask:
+                    # Danger: a watch opened while the agent is silent would wait on after its return, and what it got
+                    # there counts at once. So until it answers it is asked for what it has.
+                    self.index = None
                 say("name table", f"call failed ({bad!r}); again in {wait:.0f} ms")
                 with contextlib.suppress(OSError):
                     await self.within(wait, self.clock.sleep(wait * 2))
 
     async def call(self) -> None:
-        query = f"?index={self.index}&wait={WAIT_MS}" if self.index is not None else ""
+        wait = self.pace.wait
+        query = f"?index={self.index}&wait={wait:.0f}" if self.index is not None else ""
         began = self.clock.now()
-        grace = BARE_GRACE_MS if self.bare else GRACE_MS
-        raw = await self.within((WAIT_MS if query else 0) + grace, self.get(f"/discovery/hosts{query}"))
+        grace = BARE_GRACE_MS if self.bare else self.pace.grace
+        raw = await self.within((wait if query else 0) + grace, self.get(f"/discovery/hosts{query}"))
         index, snapshot, rows = rows_of(raw)
         self.check(index, snapshot, rows)
         # The index is taken only with its rows, and the next call follows at once: within 200 ms it
--- a/glenrock/net/pace.py
+++ b/glenrock/net/pace.py
@@ -23,13 +23,44 @@
 LONGEST_EACH_MS, GROWS = 1000.0, 3.0
 
 
+# What a watch that has fallen silent misses counts as told 6 s after that, or 2 s after the wait is over if that is
+# later. From then on the grace of a drain runs, so the list must have been heard again before it is over.
+WAIT_MS = 10_000.0  # a watch waits this long for news
+# An answer may take this much longer: a call stands in line for up to 2 s where discovery is overbooked. Danger:
+# whoever gives up earlier is never heard, and its turn is lost for the others too.
+GRACE_MS = 2500.0
+# An agent on the balancer's own machine answers at once and at no cost, and what it has counts as told, whether or not
+# a watch is open. So it is looked at again within half the time that drains leave, whatever has become of the watch.
+OWN_LEAST_MS, OWN_MOST_MS = 400.0, 3000.0
+OWN_GRACE_MS = 400.0
+LONGEST_WAIT_MS = 1000.0  # between two calls while they fail; it must be found again within 4 s of a move
+
+
 @dataclass
 class Pace:
     balancers: int
     must_ask: bool
     draw: random.Random
+    drain_grace_ms: float = 2 * OWN_MOST_MS
     refusals: int = 0  # in a row
 
+    @property
+    def wait(self) -> float:
+        """How long a watch waits for news."""
+        if self.must_ask:
+            return WAIT_MS
+        return min(OWN_MOST_MS, max(OWN_LEAST_MS, self.drain_grace_ms / 2))
+
+    @property
+    def grace(self) -> float:
+        """How much longer an answer may take."""
+        return GRACE_MS if self.must_ask else OWN_GRACE_MS
+
+    def retry(self, failures: int) -> float:
+        """The pause after a call that was not answered, the `failures`th in a row."""
+        longest = LONGEST_WAIT_MS if self.must_ask else self.wait / 2
+        return min(longest, 50.0 * 2 ** min(failures, 6)) * (0.5 + self.draw.random() / 2)
+
     def first(self, known: bool = True) -> float:
         """The time until the first call. `known`: an old list serves till then."""
         if not self.must_ask or self.balancers < 2:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,578 @@
+"""What comes between two lines of the program: bytes, ends, answers, signals. The order is forced, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import os
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+import uvloop
+from hypothesis import HealthCheck, given
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+from test_exchanges import SETTINGS
+
+from glenrock.__main__ import Program
+from glenrock.config import check
+from glenrock.net.clock import SetClock
+from glenrock.net.command import Dismiss, Ended, Move
+from glenrock.net.entrance import IDLE_MS, LAST_MS
+from wheatrouter import interface as io
+
+LINE = b"OPEN x1 1 c=look,d=1500\r\n"
+
+
+def closed(sock: socket.socket, reset: bool) -> None:
+    if reset:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def door(backlog: int = 16) -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+    sock.setblocking(False)
+    return sock
+
+
+def address(sock: socket.socket) -> str:
+    return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def refused(rig: Rig, command) -> None:
+    """What the module's refusal does, at any instant: it forgets the request, and the answer is on its way."""
+    balancer = rig.program.decider.balancer
+    if flow := balancer.flows.get(command.opened.id):
+        balancer.forget(flow, False)
+        command.nack(500.0)
+
+
+class Rig:
+    """A program whose clock the test sets, raw sockets round it, and a discovery that says what the test says."""
+
+    def __init__(self) -> None:
+        self.clock, self.doors, self.open_socks = SetClock(), {}, []
+
+    async def open(self, *names: str, effect: str = "safe", **over) -> Rig:
+        self.doors = {name: door() for name in names or ("s1",)}
+        self.discovery, self.index = door(), 1
+        classes = [{**SETTINGS["classes"][0], "effect": effect}]
+        self.program = Program(check({
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "7", "known": self.rows(),
+            "discovery": address(self.discovery),
+            "settings": {**SETTINGS, "balancers": 1, "classes": classes, **over}}), self.clock)
+        self.entrance, self.commands = self.program.entrance, self.program.server.commands
+        starting = asyncio.create_task(self.program.start())
+        self.list = await self.accepted(self.discovery)
+        await self.until(lambda: self.read(self.list).startswith(b"GET /discovery/hosts HTTP"))
+        self.say()
+        await starting
+        self.port = self.entrance.listener.getsockname()[1]
+        return self
+
+    def rows(self, **states: str) -> dict:
+        rows = [{"name": name, "address": address(sock), "zone": "a", "type": "m", "group": 0,
+                 "status": states.get(name, "SERVING"), "weight": 1.0, "since_ms": 0}
+                for name, sock in self.doors.items()]
+        return {"index": self.index, "snapshot": True, "endpoints": rows}
+
+    def say(self, **states: str) -> None:
+        self.index += 1
+        body = json.dumps(self.rows(**states)).encode()
+        self.list.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def client(self, data: bytes = b"") -> socket.socket:
+        sock = socket.create_connection(("127.0.0.1", self.port))
+        if data:
+            sock.sendall(data)
+        return self.keep(sock)
+
+    def keep(self, sock: socket.socket) -> socket.socket:
+        sock.setblocking(False)
+        self.open_socks.append(sock)
+        return sock
+
+    async def accepted(self, listener: socket.socket) -> socket.socket:
+        async with asyncio.timeout(5):
+            sock, _ = await asyncio.get_running_loop().sock_accept(listener)
+        return self.keep(sock)
+
+    async def at(self, name: str) -> socket.socket:
+        """The next connection at an instance, with its first line read."""
+        sock = await self.accepted(self.doors[name])
+        got = await self.until(lambda: self.read(sock))
+        assert got.startswith(b"OPEN "), got
+        return sock
+
+    def read(self, sock: socket.socket) -> bytes:
+        try:
+            return sock.recv(1 << 16)
+        except BlockingIOError:
+            return b""
+
+    async def until(self, what: Callable[[], object]) -> object:
+        async with asyncio.timeout(5):
+            while not (got := what()):
+                await asyncio.sleep(0)
+        return got
+
+    async def rest(self, sock: socket.socket) -> tuple[bytes, str]:
+        """All that comes to the end, and the end."""
+        data = b""
+        async with asyncio.timeout(5):
+            while True:
+                await asyncio.sleep(0)
+                try:
+                    got = sock.recv(1 << 16)
+                except BlockingIOError:
+                    continue
+                except ConnectionError:
+                    return data, "reset"
+                if not got:
+                    return data, "fin"
+                data += got
+
+    async def run(self, ms: float) -> None:
+        for _ in range(int(ms // 10)):
+            await self.turns()
+            self.clock.advance(10)
+        await self.turns()
+
+    async def turns(self) -> None:
+        for _ in range(10):
+            await asyncio.sleep(0.0002)
+
+    async def up(self, data: bytes = LINE) -> tuple[socket.socket, socket.socket]:
+        client = self.client(data)
+        at = await self.at("s1")
+        at.sendall(b"UP r\r\n")
+        assert await self.until(lambda: self.read(client)) == b"UP r\r\n"
+        return client, at
+
+    async def nothing_was_sent(self) -> None:
+        """Whoever connected to an instance wrote no line there, and nothing of the client is left."""
+        await self.until(lambda: not self.commands and not self.entrance.tasks)
+        await self.run(700)
+        for listener in self.doors.values():
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    sock, _ = listener.accept()
+                    sock.setblocking(False)
+                    data, _ = await self.rest(sock)
+                    sock.close()
+                    assert b"OPEN" not in data
+        assert not self.program.decider.balancer.flows
+
+
+def played(story: Callable[[Rig], Awaitable[None]]) -> None:
+    async def play() -> None:
+        await asyncio.wait_for(story(Rig()), 20)
+    uvloop.run(play())
+
+
+# -- a client that has left while its request waited ------------------------------------------------
+
+async def queued(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """The attempt lies with the instance's actor; the client's end is told before its first step."""
+    await rig.open()
+    client = rig.client(LINE)
+    execute = None
+
+    async def caught() -> None:
+        await rig.until(lambda: rig.commands)
+        command = rig.commands["x1"]
+        nonlocal execute
+        execute = command.execute
+        command.execute = lambda name, ms: (execute(name, ms), command.mailbox.mail.appendleft(Ended.CLIENT_FIN),
+                                            command.mailbox.wake())
+    await caught()
+    leave(client)
+
+
+async def dialled(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """Its connection does not come up until it has left."""
+    await rig.open()
+    full = door(0)
+    plugs = []
+    for _ in range(4):
+        plugs.append(socket.socket())
+        plugs[-1].setblocking(False)
+        plugs[-1].connect_ex(full.getsockname())
+    await rig.turns()
+    rig.program.server.instances.get("s1").entry.address = full.getsockname()
+    client = rig.client(LINE)
+    await rig.until(lambda: rig.commands and rig.commands["x1"].execution and rig.commands["x1"].execution.sock)
+    leave(client)
+    await rig.turns()
+    for sock in plugs:
+        sock.close()
+    rig.doors["s1"] = full
+
+
+async def between_attempts(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """It is turned away at one instance, and its end lies in the kernel with that answer."""
+    await rig.open("s1", "s2")
+    client = rig.client(LINE)
+    at, first = None, ""
+    async with asyncio.timeout(5):
+        while at is None:
+            await asyncio.sleep(0)
+            for name, listener in rig.doors.items():
+                with contextlib.suppress(BlockingIOError):
+                    at, first = rig.keep(listener.accept()[0]), name
+    await rig.until(lambda: rig.read(at))
+    at.sendall(b"BUSY\r\n")
+    leave(client)
+    del rig.doors[first]
+
+
+async def held(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """No instance may take it; one may once it has left."""
+    await rig.open()
+    rig.say(s1="DRAINING")
+    await rig.turns()
+    client = rig.client(LINE)
+    await rig.until(lambda: rig.program.decider.balancer.flows)
+    leave(client)
+    await rig.turns()
+    await rig.until(lambda: rig.read(rig.list))
+    rig.say()
+
+
+async def standing(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """It stood at an instance that is not there yet; it is tried again by a timer."""
+    await rig.open()
+    listener = rig.doors["s1"]
+    address = listener.getsockname()
+    listener.close()
+    client = rig.client(b"OPEN x1 1 c=look,at=s1\r\n")
+    await rig.until(lambda: rig.commands and rig.commands["x1"].execution
+                    and rig.commands["x1"].execution.task and rig.commands["x1"].execution.task.done())
+    await rig.turns()
+    leave(client)
+    await rig.turns()
+    rig.doors["s1"] = socket.create_server(address)
+    rig.doors["s1"].setblocking(False)
+
+
+async def decided(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """The module decides on it in the turn in which it is closed."""
+    await rig.open()
+    rig.say(s1="DRAINING")
+    await rig.turns()
+    client = rig.client(LINE)
+    await rig.until(lambda: rig.program.decider.balancer.flows)
+    command, gone = rig.commands["x1"], rig.commands["x1"].gone
+
+    def crossed() -> None:
+        gone()
+        rig.program.server.instances.get("s1").entry.status = "SERVING"
+        rig.program.decider.act(io.Send("x1", "s1", 900_000))
+    command.gone = crossed
+    leave(client)
+
+
+@pytest.mark.parametrize("reset", [False, True], ids=["fin", "rst"])
+@pytest.mark.parametrize("place", [queued, dialled, between_attempts, held, standing, decided])
+def test_nothing_is_sent_on_for_a_client_that_has_left(place, reset: bool) -> None:
+    async def story(rig: Rig) -> None:
+        await place(rig, lambda client: closed(client, reset))
+        await rig.nothing_was_sent()
+    played(story)
+
+
+# -- the end of the process, and of connections that rest -------------------------------------------
+
+def test_a_request_in_the_queue_when_the_last_is_taken_has_its_answer() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(LINE)  # no turn of the loop until it closes its door
+        rig.entrance.leave_none()
+        data, end = await rig.rest(client)
+        assert data.startswith(b"BUSY ") and end == "fin"
+        client.close()
+        await rig.nothing_was_sent()
+    played(story)
+
+
+@pytest.mark.parametrize("late", [b"", LINE, LINE[:9]], ids=["nothing", "a request", "half of one"])
+def test_who_rests_until_the_end_is_told_and_a_request_of_that_instant_answered(late: bytes) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(b"PING\r\n")
+        assert await rig.until(lambda: rig.read(client)) == b"PONG\r\n"
+        if late:
+            client.sendall(late)
+        rig.entrance.leave_none()
+        data, end = await rig.rest(client)
+        assert (data == b"ERR\r\n" if late == LINE[:9] else data.startswith(b"BUSY ")) and end == "fin"
+        client.close()
+        await rig.nothing_was_sent()
+    played(story)
+
+
+def test_who_says_nothing_at_the_end_is_not_waited_for() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client()
+        rig.entrance.leave_none()
+        await rig.turns()
+        assert rig.read(client) == b""
+        await rig.run(LAST_MS + 20)
+        assert await rig.rest(client) == (b"ERR\r\n", "fin")
+    played(story)
+
+
+@pytest.mark.parametrize("late", [b"", LINE], ids=["nothing", "a request"])
+def test_a_request_in_the_instant_in_which_a_resting_connection_is_given_up_is_served(late: bytes) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(b"PING\r\n")
+        assert await rig.until(lambda: rig.read(client)) == b"PONG\r\n"
+        await rig.turns()
+        if late:
+            client.sendall(late)
+        rig.clock.advance(IDLE_MS)  # without a turn of the loop between
+        if late:
+            at = await rig.at("s1")
+            at.sendall(b"UP r\r\n")
+            assert await rig.until(lambda: rig.read(client)) == b"UP r\r\n"
+        else:
+            assert (await rig.rest(client))[0].startswith(b"BUSY ")
+    played(story)
+
+
+def test_a_ping_and_a_request_in_one_piece_are_both_answered() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(b"PING\r\nPING\r\n" + LINE)
+        at = await rig.at("s1")
+        at.sendall(b"UP r\r\n")
+        got = b""
+        async with asyncio.timeout(5):
+            while got != b"PONG\r\nPONG\r\nUP r\r\n":
+                got += rig.read(client)
+                await asyncio.sleep(0)
+    played(story)
+
+
+@pytest.mark.parametrize("effect,sent,word", [("safe", True, b"BUSY"), ("keyed", True, b"BUSY"),
+                                              ("unsafe", True, b"ERR"), ("unsafe", False, b"BUSY")])
+def test_who_waits_at_the_end_is_told_to_come_again_only_where_that_is_harmless(effect, sent, word) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open(effect=effect)
+        if not sent:
+            rig.say(s1="DRAINING")
+            await rig.turns()
+        client = rig.client(LINE)
+        at = await rig.at("s1") if sent else None
+        await rig.until(lambda: rig.program.decider.balancer.flows)
+        rig.commands["x1"].mailbox.deliver(Dismiss(1000))
+        data, end = await rig.rest(client)
+        assert data.startswith(word) and data.count(b"\n") == 1 and end == "fin"
+        if at:
+            assert (await rig.rest(at))[0] == b""  # the attempt has ended too
+    played(story)
+
+
+# -- answers that meet decisions --------------------------------------------------------------------
+
+def test_one_that_came_up_as_it_was_refused_stands_and_the_module_knows_it() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(LINE)
+        at = await rig.at("s1")
+        command = rig.commands["x1"]
+        answered = command.answered
+
+        def crossed(x, outcome) -> None:  # the answer, and right behind it the module's last word
+            answered(x, outcome)
+            refused(rig, command)
+        command.execution.done = crossed
+        at.sendall(b"UP r\r\n")
+        assert await rig.until(lambda: rig.read(client)) == b"UP r\r\n"
+        await rig.until(lambda: rig.program.decider.balancer.flows)
+        rig.say(s1="DRAINING")
+        await rig.run(2600)
+        assert (await rig.rest(client))[0] == b"MOVE\r\n"
+    played(story)
+
+
+def test_one_that_comes_up_after_it_was_refused_is_closed_before_its_client_hears() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(LINE)
+        at = await rig.at("s1")
+        command = rig.commands["x1"]
+        answered = command.answered
+        command.execution.done = lambda x, outcome: (refused(rig, command), answered(x, outcome))
+        at.sendall(b"UP r\r\n")
+        assert await rig.rest(at) == (b"", "fin")
+        data, end = await rig.rest(client)
+        assert data == b"BUSY 500\r\n" and end == "fin"
+    played(story)
+
+
+def test_a_full_mailbox_loses_no_end() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client, at = await rig.up()
+        rig.commands["x1"].mailbox.limit = 0  # full, and nobody has read it yet
+        client.close()
+        assert await rig.rest(at) == (b"", "fin")
+        at.close()
+        await rig.until(lambda: not rig.commands)
+    played(story)
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_client_is_moved_while_its_instance_hangs_within_a_line(reads: bool) -> None:
+    """And while what the client sends fills the way to an instance that does not read."""
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client, at = await rig.up()
+        at.sendall(b"whole\r\nhal")
+        assert await rig.until(lambda: rig.read(client)) == b"whole\r\n"
+        if not reads:
+            idle = 0
+            while idle < 50:
+                try:
+                    client.send(b"k" * 1023 + b"\n")
+                    idle = 0
+                except BlockingIOError:
+                    idle += 1
+                    await asyncio.sleep(0.0002)
+            assert not rig.commands["x1"].idle_up
+        rig.commands["x1"].mailbox.put(Move("cancelled"))
+        got = b""
+        async with asyncio.timeout(5):
+            while not got.endswith(b"MOVE\r\n"):
+                got += rig.read(client)
+                await asyncio.sleep(0)
+        assert got == b"MOVE\r\n"
+        client.close()
+        await rig.until(lambda: not rig.commands)
+    played(story)
+
+
+# -- probes and the list ----------------------------------------------------------------------------
+
+PROBES = {**SETTINGS["caps"], "probes": True}
+
+
+def test_a_probe_on_a_connection_that_the_instance_has_closed_is_asked_anew() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open(caps=PROBES, report={"how": "probe", "names": ["x0"]})
+        results = []
+        instance = rig.program.server.instances.get("s1")
+        instance.post = results.append
+        for _ in range(2):
+            rig.program.server.instances.probe("s1")
+            at = await rig.accepted(rig.doors["s1"])
+            assert await rig.until(lambda at=at: rig.read(at)) == b"STATS\r\n"
+            at.sendall(b"PONG x0=0.5\r\n")
+            await rig.until(lambda: instance.prober.done())
+            at.close()  # idle: the program does not look at it now
+        assert [r.verdict for r in results] == ["served", "served"]
+    played(story)
+
+
+def test_a_silent_watch_is_given_up_before_what_it_misses_counts() -> None:
+    """The agent has a drain from the moment the watch fell silent; nothing new goes there after the grace."""
+    async def story(rig: Rig) -> None:
+        grace = 2000.0
+        await rig.open(obligations={**SETTINGS["obligations"], "drainGraceUs": grace * 1000})
+        assert b"index=2&wait=1000 " in await rig.until(lambda: rig.read(rig.list))
+        spent = 0.0
+        with pytest.raises(BlockingIOError):
+            rig.discovery.accept()
+        while True:
+            await rig.run(10)
+            spent += 10
+            assert spent < grace
+            with contextlib.suppress(BlockingIOError):
+                rig.list = rig.keep(rig.discovery.accept()[0])
+                break
+        assert (await rig.until(lambda: rig.read(rig.list))).startswith(b"GET /discovery/hosts HTTP"), "no watch"
+        rig.say(s1="DRAINING")
+        await rig.turns()
+        client = rig.client(LINE)
+        assert (await rig.until(lambda: rig.clock.advance(10) or rig.read(client))).startswith(b"BUSY")
+    played(story)
+
+
+# -- any order ---------------------------------------------------------------------------------------
+
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("instance"), st.sampled_from([b"one\r\n", b"tw", b"o\r\nthr", b"\r\n", b"LOAD 3\r\n"])),
+    st.tuples(st.sampled_from(["client", "move", "dismiss", "turns", "time", "instance fin", "instance rst",
+                               "client fin", "client rst", "nack"]), st.just(b""))), max_size=12)
+
+
+@limits(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(before=st.lists(st.sampled_from(["turns", "nack", "dismiss", "client fin", "client rst", "half", "busy", "up"]),
+                       max_size=4), steps=STEPS)
+def test_whatever_the_order_each_has_one_answer_or_end_and_nothing_is_left(before, steps) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        fds, tasks = len(os.listdir("/proc/self/fd")), len(asyncio.all_tasks())
+        client, sent = rig.client(LINE), b""
+        at = await rig.at("s1")
+        command, left, ended = rig.commands["x1"], False, False
+        script = [(what, b"") for what in before] + [("instance", b"UP r\r\n")] + steps
+        for what, data in script:
+            data = {"half": b"U", "busy": b"BUSY\r\n", "up": b"UP r\r\n"}.get(what, data)
+            with contextlib.suppress(OSError):
+                if data and not ended:
+                    at.sendall(data)
+                    sent += data
+                elif what == "client" and not left and command.up.is_set():
+                    client.sendall(b"hello\r\n")
+                elif what == "move" and command.up.is_set():
+                    command.mailbox.put(Move("cancelled"))
+                elif what == "dismiss":
+                    command.mailbox.deliver(Dismiss(700))
+                elif what == "nack":
+                    refused(rig, command)
+                elif what == "turns":
+                    await rig.turns()
+                elif what == "time":
+                    await rig.run(50)
+                elif what.startswith("client ") and not left:
+                    left = True
+                    closed(client, what.endswith("rst"))
+                elif what.startswith("instance ") and not ended:
+                    ended = True
+                    closed(at, what.endswith("rst"))
+        await rig.turns()
+        got = b""
+        if not left:
+            command.mailbox.deliver(Move("cancelled") if command.up.is_set() else Dismiss(1000))
+            got, _ = await rig.rest(client)
+            closed(client, False)
+        if not ended:
+            await rig.run(20)
+            closed(at, False)
+        async with asyncio.timeout(5):
+            while rig.commands or rig.entrance.tasks:
+                await rig.run(10)
+        if got.startswith(b"UP "):
+            body, _, rest = got.rpartition(b"MOVE\r\n")
+            assert not rest or not body, "nothing comes after MOVE"
+            passed = body if got.endswith(b"MOVE\r\n") else got
+            assert sent.startswith(passed) and got.count(b"MOVE") <= 1
+            assert not got.endswith(b"MOVE\r\n") or passed.endswith(b"\r\n"), "between two lines"
+        elif not left and got:
+            assert got.count(b"\n") == 1 and got.split(b" ")[0].strip() in (b"BUSY", b"ERR"), got
+        await rig.turns()
+        assert not rig.program.decider.balancer.flows
+        gc.collect()
+        for sock in (client, at):
+            sock.close()
+        await rig.until(lambda: len(os.listdir("/proc/self/fd")) <= fds and len(asyncio.all_tasks()) <= tasks)
+    played(story)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -20,7 +20,8 @@
             "caps": {"maxAttempts": 3, "cancel": True, "mayTell": True, "retryAfter": True,
                      "maxRetryAfterUs": 1000000, "dialTimeoutUs": 200000},
             "classes": [{"name": "look", "targetUs": 300000, "deadlineUs": 1800000}],
-            "obligations": {"coldShare": 0.3, "coldUs": 9000000, "fallMultiple": 3, "overloadForUs": 3000000}}
+            "obligations": {"drainGraceUs": 6000000, "coldShare": 0.3, "coldUs": 9000000, "fallMultiple": 3,
+                            "overloadForUs": 3000000}}
 
 
 class Ends:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -6,6 +6,8 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from glenrock.net.pace import Pace
 
@@ -87,3 +89,16 @@
     assert [p.overbooked() for _ in range(8)] == [1000, 3000, 9000, 20000, 20000, 20000, 20000, 20000]
     p.heard()
     assert p.overbooked() == 1000
+
+
+@given(st.floats(1000.0, 20_000.0), st.integers(0, 2**32))
+def test_a_pushed_list_is_heard_again_within_the_grace_whatever_became_of_the_watch(grace: float, seed: int) -> None:
+    """What the agent has counts from the first moment; a watch that fell silent just then is waited for in vain. So is
+    a call that falls into the agent's last silent moment, however many have failed before it."""
+    pace = Pace(200, False, random.Random(seed), grace)
+    assert pace.wait + pace.grace + pace.retry(1) < grace
+    assert max(pace.grace + pace.retry(n) for n in range(1, 20)) < grace
+
+
+def test_a_list_that_is_asked_for_is_left_its_line() -> None:
+    assert (Pace(4, True, random.Random(1)).wait, Pace(4, True, random.Random(1)).grace) == (10_000.0, 2500.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -599,3 +599,17 @@
     report(h, many, 4)
     report(h, {name: 1.1 for name in list(many)[:3]}, 1)
     assert h.b.fleet < 0.7, "three of twenty are not"
+
+
+@pytest.mark.parametrize("scope", ["all", "zone", "cell"])
+def test_a_repeat_is_given_up_with_the_window_in_which_servers_drop_it(make, scope: str) -> None:
+    """A connection that comes up later would carry a second effect."""
+    kind = io.RequestClass("read", 300_000, 2_000_000, 60_000, effect="keyed", repeat_scope=scope,
+                           repeat_window_us=400_000)
+    h = make(classes=(kind,))
+    name = h.request(life_us=2 * SECOND)
+    h.run(300_000)
+    h.end(name, "broken")
+    h.run(20_000)
+    first, again = h.sends(name)
+    assert 0 < again.timeout_us <= 100_000 < first.timeout_us
--- a/wheatrouter/records.py
+++ b/wheatrouter/records.py
@@ -75,6 +75,11 @@
     waits_for: set[str] = field(default_factory=set)  # probes
     choice: list[Server] = field(default_factory=list)
 
+    @property
+    def ran(self) -> Attempt | None:
+        """The first attempt that may have run; one that is still out may."""
+        return next((a for a in self.attempts if a.verdict not in io.NEVER_RAN), None)
+
 
 @dataclass(slots=True)
 class Session:
--- a/wheatrouter/rules.py
+++ b/wheatrouter/rules.py
@@ -458,23 +458,19 @@
         """The one place that says whether a request may be sent (again), and where."""
         if not self.may_try(f) or not self.may_take(s, f.load):
             return False
-        first = next((a for a in f.attempts if a.verdict not in io.NEVER_RAN), None)
+        first = f.ran
         if first is None or f.kind.effect == "safe":
             return True
         # Danger: a second effect. Only servers that drop the repeat, only while they remember it.
         if f.kind.effect == "unsafe" or self.now > first.sent_at + f.kind.repeat_window_us:
             return False
-        if f.kind.repeat_scope == "all":
-            return True
-        return s.zone == first.server.zone if f.kind.repeat_scope == "zone" else s.cell == first.server.cell
+        at, scope = first.server, f.kind.repeat_scope
+        return scope == "all" or (s.zone == at.zone if scope == "zone" else s.cell == at.cell)
 
     def may_refuse(self, f: Flow) -> bool:
         """The one place that says whether a request may be refused: a retry must be harmless."""
-        if f.answered or f.server:
-            return False
-        if all(a.verdict in io.NEVER_RAN for a in f.attempts):  # one still out may run
-            return True
-        return f.kind.effect == "safe" or (f.kind.effect == "keyed" and f.kind.repeat_scope == "all")
+        harmless = f.kind.effect == "safe" or f.kind.effect == "keyed" and f.kind.repeat_scope == "all"
+        return not (f.answered or f.server) and (harmless or not f.ran)
 
     def candidates(self, f: Flow) -> list[Server]:
         """Weighted random pick; a group seeds it, so that its connections meet on the same servers.
@@ -555,6 +551,8 @@
         limit = left
         if len(f.attempts) + 1 < self.set.max_attempts:  # leave room for another
             limit = min(left, max(left * 6 // 10, 2 * self.set.dial_timeout_us))
+        if f.ran and f.kind.effect == "keyed":  # danger: a connection that comes up after the window
+            limit = max(1, min(limit, f.ran.sent_at + f.kind.repeat_window_us - self.now))
         f.attempts.append(Attempt(s, self.now))
         cold.send(self, self.set, s, f.load)
         s.placed += f.load
