Count servers beyond what they can do by what they have left, where traffic is thin

The mean of the fleet weighs a server by the part of its usual capacity that it has, which is learned from five connections of ours or more; with fewer each counted whole. Lines at fault: estimates.mean, the last one.

Ruled out: the window of set-ups (inf throughout), failed servers (none), peers' words (known and own actives fall alike).

Change: where nothing is learned, a server beyond what it can do counts as asked for like the middle one.

--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatrouter import beliefs
+from wheatrouter import beliefs, estimates
 from wheatrouter import interface as io
 from wheatrouter.records import Memory, Server
 
@@ -148,3 +148,17 @@
     h.run(2 * SECOND)
     h.give(io.ProbeResult("a:1", "timeout"))
     assert s.failures
+
+
+@given(st.integers(2, 40), st.data())
+def test_servers_that_hang_do_not_close_the_cap_and_a_full_fleet_does(many: int, data: st.DataObject) -> None:
+    """Up to half of them hang and tell of many times what they can do; with thin traffic nothing else tells of it."""
+    hang = data.draw(st.integers(0, many // 2))
+    load = data.draw(st.floats(0.2, 0.6))
+    m = Memory()
+    m.servers = {f"s{n}": Server(f"s{n}", "", 0, n, ready=True, load=8.0 if n < hang else load) for n in range(many)}
+    servers = list(m.servers.values())
+    seen = [(s, min(3.0, s.load)) for s in servers]
+    most = load * many / (many - hang)  # the others bear what was there
+    assert estimates.mean(m, seen, 1.0) <= most + 1e-9
+    assert estimates.mean(m, [(s, 1.2) for s in servers], 1.0) == pytest.approx(1.2), "all are full"
--- a/wheatrouter/estimates.py
+++ b/wheatrouter/estimates.py
@@ -39,7 +39,13 @@
         # for less than some part of the others'; balancers differ in what they hold where.
         if s.usual:
             s.part = min(1.0, s.can / max(s.usual, USUAL_LEAST * sum(usual) / len(usual)))
-    return sum(s.part * load for s, load in seen) / sum(s.part for s, _ in seen)
+    # Danger: a connection or two do not tell what a server usually does. Two of eight that hung counted
+    # whole, at many times their load: the cap was cut again and again, while the others were nearly empty. So
+    # one beyond what it can do is held to be asked for as much as the middle one, and to have lost the rest.
+    loads = sorted(s.load for s in m.servers.values() if s.ready and s.load >= 0) or [1.0]
+    middle = loads[(len(loads) - 1) // 2]
+    parts = [s.part if s.usual or load <= 1 else min(1.0, middle / load) for s, load in seen]
+    return sum(part * load for part, (_, load) in zip(parts, seen, strict=True)) / sum(parts)
 
 
 def steady(m: Memory) -> bool:
