Look for the client's end right before its line is written, and mend three smaller crossings

Need: a request whose client has left while it waited is not sent on; the leads of the repair on constants and ends.

Faults and their mends, found by reading: - After a turn that comes late (a share of a core, a stall), the client's end and the instance's connection are both there, and the loop may step the attempt first: Instance.attempt wrote the line before Command.pump_up had its turn. Now the client's socket is peeked at before the first byte. One system call an attempt. - A process that gives its listening socket away ended in the turn in which it told those who rest; whether they were told hung on how the loop ends (uvloop plays that turn out, so none was lost on the stage). Now it waits for them. - Clients refused beside the decisions were told 1,000 ms (500 to 1,000 with no room) whatever the settings say clients heed, and also where nobody may be told a time. Now it is the settings' longest, 1,000 at most. - A silent watch on a list that is asked for was given up 500 ms after what it missed counts, however short the drain grace. Now the quarter of it, where that is less; the bound of 2 s that a call may stand in line stays under it.

Ruled out, with a test: a line and its client's end that are both there before the first look.

A property on attempts, answers, drains, signals and a client that leaves: at most one attempt, one answer in time, nothing sent on for one that left.

--- a/glenrock/net/command.py
+++ b/glenrock/net/command.py
@@ -121,7 +121,7 @@
         if self.quit:  # a standing one is tried again by a timer, whatever has become of its client
             return
         self.name = name
-        x = self.execution = Execution(self.opened.line, timeout_ms, self.answered, insist)
+        x = self.execution = Execution(self.opened.line, timeout_ms, self.answered, insist, wanted=self.waits)
         instance = self.server.instances.get(name)
         if instance is None or not instance.mailbox.put(x):
             self.answered(x, Outcome(End.NOT_SENT, Reach.NOT_CONNECTED))
@@ -129,6 +129,21 @@
     def answered(self, x: Execution, outcome: Outcome) -> None:
         self.mailbox.deliver(Answered(x, outcome))
 
+    def waits(self) -> bool:
+        """Whether the client still waits, by what the machine has of it now.
+
+        Danger: after a turn that came late its end and the instance's connection are both there, and the line was
+        written before the up pump had its turn: sent on for a client that had left long ago.
+        """
+        try:
+            ended = Ended.TOO_EARLY if self.sock.recv(1, socket.MSG_PEEK) else Ended.CLIENT_FIN
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            ended = Ended.CLIENT_RST
+        self.mailbox.deliver(ended)
+        return False
+
     # -- before UP -----------------------------------------------------------------------------------
 
     def request(self) -> io.Request:
@@ -149,7 +164,7 @@
                 guard = self.clock.call_at(self.deadline + GUARD_MS, self.mailbox.deliver, Ended.OVERDUE)
                 if not self.decider.post(self.request()):
                     self.over = True
-                    self.nack(1000.0)
+                    self.nack(self.server.again_ms)
             if await self.settle(standing):
                 if guard:
                     guard.cancel()
--- a/glenrock/net/command_server.py
+++ b/glenrock/net/command_server.py
@@ -22,6 +22,7 @@
 SWEEP_MS = 250.0
 NOTE_MS = 1000.0  # word of slow messages at an instance, at most this often
 RESERVE = 24  # descriptors kept for everything but clients, besides one probe connection an instance
+AGAIN_MS = 1000.0  # whoever is refused beside the decisions comes again after this, where clients may wait so long
 WAITS = 10.0  # a client that wants to wait this many times its class's deadline sent no sound number
 
 
@@ -43,6 +44,7 @@
         self.known = lines.Known({c.name: WAITS * c.deadline_us / 1000 for c in settings.classes},
                                  frozenset(t.name for t in settings.tenants))
         aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
+        self.again_ms = min(AGAIN_MS, settings.max_retry_after_us / 1000) if settings.retry_after else 0.0
         self.slow_ms = min(aims) / 3000 if aims and measures_delay else 0.0
         self.noted: dict[str, float] = {}  # instances whose messages were slow, and when that was told
 
--- a/glenrock/net/entrance.py
+++ b/glenrock/net/entrance.py
@@ -25,7 +25,6 @@
 AT_ONCE = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
 QUEUED = 4096  # connections that the system accepts before this program does
 LAST_MS = 100.0  # once no more are taken, whoever has said nothing yet has this long
-RESTED_MS = 1000.0  # who rested until it was ended comes again after this
 FEW = 16  # connections without a command that there is always room for
 
 
@@ -38,6 +37,7 @@
     """What a first line needs of the table of commands, whatever becomes of them."""
 
     known: lines.Known
+    again_ms: float  # whoever is refused comes again after this; 0: nobody may be told when
 
     def knows(self, id_: str) -> bool: ...
     def full(self) -> bool: ...
@@ -183,7 +183,7 @@
                 with contextlib.suppress(BlockingIOError):
                     data += sock.recv(lines.LONGEST)
             if not complete(data):
-                await self.turn_away(sock, lines.nack(RESTED_MS) if pinged and not data else lines.FAILED)
+                await self.turn_away(sock, lines.nack(self.commands.again_ms) if pinged and not data else lines.FAILED)
                 return None
             line, end, rest = data.partition(b"\n")
             if line + end != lines.PING:
@@ -205,7 +205,7 @@
             if not self.refuses:
                 say("descriptors", "no room for another command: nacked")
             self.commands.turned_away("throttled", opened.fields["c"])
-            await self.turn_away(sock, lines.nack(500 + 500 * random.random()))
+            await self.turn_away(sock, lines.nack(self.commands.again_ms * (0.5 + random.random() / 2)))
         else:
             return opened
         return None
--- a/glenrock/net/instance.py
+++ b/glenrock/net/instance.py
@@ -72,6 +72,7 @@
     sent_at: float = 0.0
     latency_ms: float = 0.0
     withdrawn: bool = False
+    wanted: Callable[[], bool] = lambda: True  # asked right before the line is written
     task: asyncio.Task | None = field(default=None, repr=False)
 
     def withdraw(self) -> None:
@@ -152,6 +153,8 @@
         # The table may have changed while the connection came up.
         if not (self.serving or x.insist):
             return Outcome(End.NOT_SENT, x.reach)
+        if not x.wanted():
+            return Outcome(End.WITHDRAWN, x.reach)
         async with self.clock.limit(self.left(x)) as limit:
             x.reach = Reach.PARTLY_WRITTEN
             await loop.sock_sendall(x.sock, lines.with_wait(x.line, self.left(x)))
--- a/glenrock/net/leaving.py
+++ b/glenrock/net/leaving.py
@@ -24,7 +24,6 @@
 ALONE_MS = 400.0  # a lone balancer starts to move its clients so long before it has to be done
 LATE_MS = 1000.0  # sent away by hand: whoever comes later than this is refused, the front has long heard
 AWAY_MS = 3000.0  # and all have been told to move by then; 4 s are allowed, and a line under way takes its time
-AGAIN_MS = 1000.0  # those refused come again after this
 
 
 class Successor(Protocol):
@@ -99,7 +98,7 @@
     def refuse_waiting(self) -> None:
         for command in list(self.server.commands.values()):
             if not command.up.is_set() and not command.ended:
-                command.mailbox.deliver(Dismiss(AGAIN_MS))
+                command.mailbox.deliver(Dismiss(self.server.again_ms))
 
     async def stop(self, inherited: bool, successor: Successor | None) -> None:
         """SIGTERM: hands the relays to a successor where there is one, moves the other clients over the time there is,
@@ -132,9 +131,10 @@
             await self.clock.sleep(STEP_MS)
         self.entrance.leave_none()
         for command in list(commands.values()):
-            command.mailbox.deliver(Dismiss(AGAIN_MS))
-        if commands or not inherited:
-            await self.clock.sleep(max(0.0, until + 250 - self.clock.now()))
+            command.mailbox.deliver(Dismiss(self.server.again_ms))
+        # Danger: with the process goes whoever rests here and has not been told yet, and a request of that instant.
+        while self.clock.now() < until + 250 and (commands or self.entrance.tasks or not inherited):
+            await self.clock.sleep(STEP_MS)
 
     async def hand_over(self, successor: Successor, until: float) -> None:
         """Relays as they stand, and those that come up meanwhile."""
--- a/glenrock/net/pace.py
+++ b/glenrock/net/pace.py
@@ -29,6 +29,7 @@
 # An answer may take this much longer: a call stands in line for up to 2 s where discovery is overbooked. Danger:
 # whoever gives up earlier is never heard, and its turn is lost for the others too.
 GRACE_MS = 2500.0
+TOLD_MS = 2000.0  # after the wait, what a silent watch misses counts; the rest of the grace is a part of the drains'
 # An agent on the balancer's own machine answers at once and at no cost, and what it has counts as told, whether or not
 # a watch is open. So it is looked at again within half the time that drains leave, whatever has become of the watch.
 OWN_LEAST_MS, OWN_MOST_MS = 400.0, 3000.0
@@ -54,7 +55,7 @@
     @property
     def grace(self) -> float:
         """How much longer an answer may take."""
-        return GRACE_MS if self.must_ask else OWN_GRACE_MS
+        return min(GRACE_MS, TOLD_MS + self.drain_grace_ms / 4) if self.must_ask else OWN_GRACE_MS
 
     def retry(self, failures: int) -> float:
         """The pause after a call that was not answered, the `failures`th in a row."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -277,8 +277,32 @@
     leave(client)
 
 
+async def at_the_door(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """Its line and its end are both there before the program has looked once."""
+    await rig.open()
+    leave(rig.client(LINE))
+    await rig.until(lambda: rig.entrance.tasks)
+
+
+async def late_turn(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
+    """Its end and the instance's connection come in one turn, and the instance's actor has it first."""
+    await rig.open()
+    instance = rig.program.server.instances.get("s1")
+    attempt = instance.attempt
+
+    async def first(x) -> object:
+        pump = rig.commands["x1"].tasks[0]
+        pump.cancel()  # it has no turn before the line is written
+        await asyncio.wait([pump])
+        leave(client)
+        return await attempt(x)
+    instance.attempt = first
+    client = rig.client(LINE)
+    await rig.until(lambda: rig.commands)
+
+
 @pytest.mark.parametrize("reset", [False, True], ids=["fin", "rst"])
-@pytest.mark.parametrize("place", [queued, dialled, between_attempts, held, standing, decided])
+@pytest.mark.parametrize("place", [queued, dialled, between_attempts, held, standing, decided, at_the_door, late_turn])
 def test_nothing_is_sent_on_for_a_client_that_has_left(place, reset: bool) -> None:
     async def story(rig: Rig) -> None:
         await place(rig, lambda client: closed(client, reset))
@@ -316,6 +340,44 @@
     played(story)
 
 
+@pytest.mark.parametrize("caps,words", [
+    ({"retryAfter": True, "maxRetryAfterUs": 400_000}, (b"BUSY 400\r\n", b"BUSY 400\r\n")),
+    ({"retryAfter": True, "maxRetryAfterUs": 9_000_000}, (b"BUSY 1000\r\n", b"BUSY 1000\r\n")),
+    ({"retryAfter": False, "maxRetryAfterUs": 400_000}, (b"BUSY\r\n", b"BUSY\r\n"))])
+def test_nobody_is_told_at_the_end_to_wait_longer_than_clients_do(caps, words) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open(caps={**SETTINGS["caps"], **caps})
+        rests, waits = rig.client(b"PING\r\n"), rig.client(LINE.replace(b"1500", b"9000"))
+        assert await rig.until(lambda: rig.read(rests)) == b"PONG\r\n"
+        await rig.at("s1")
+        end = asyncio.create_task(rig.program.leaving.stop(False, None))
+        async with asyncio.timeout(10):
+            while not end.done():
+                await rig.run(10)
+        assert (rig.read(rests), rig.read(waits)) == words
+    played(story)
+
+
+@pytest.mark.parametrize("late", [b"", LINE], ids=["nothing", "a request"])
+def test_a_process_that_gives_its_door_away_ends_only_once_all_who_rest_are_told(late: bytes) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open(balancers=2)
+        client = rig.client(b"PING\r\n")
+        assert await rig.until(lambda: rig.read(client)) == b"PONG\r\n"
+        if late:
+            client.sendall(late)  # no turn of the loop before the signal
+
+        async def told_at_the_end() -> bytes:
+            await rig.program.leaving.stop(True, None)
+            return rig.read(client)
+        end = asyncio.create_task(told_at_the_end())
+        async with asyncio.timeout(10):
+            while not end.done():
+                await rig.run(10)
+        assert end.result().startswith(b"BUSY ")
+    played(story)
+
+
 def test_who_says_nothing_at_the_end_is_not_waited_for() -> None:
     async def story(rig: Rig) -> None:
         await rig.open()
@@ -576,3 +638,95 @@
             sock.close()
         await rig.until(lambda: len(os.listdir("/proc/self/fd")) <= fds and len(asyncio.all_tasks()) <= tasks)
     played(story)
+
+
+ANSWERS = {"busy": b"BUSY\r\n", "err": b"ERR\r\n", "half": b"U", "up": b"UP r\r\n", "junk": b"?\r\n"}
+MOMENTS = ["turns", "time", "long", "fin", "rst", "drain", "back", "term", *ANSWERS]
+
+
+@limits(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(script=st.lists(st.sampled_from(MOMENTS), max_size=14), leaves=st.sampled_from([None, None, "fin", "rst"]),
+       when=st.integers(0, 13))
+def test_whatever_the_order_there_is_one_attempt_at_a_time_and_one_answer_in_time(script, leaves, when) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open("s1", "s2")
+        out: list[socket.socket] = []  # attempts, the last of them perhaps not over
+        over: set[int] = set()
+        got, stops, stood, told = b"", None, False, 0.0
+        client, began = rig.client(LINE), rig.clock.now()
+
+        def given_up() -> None:
+            for n, sock in enumerate(out):
+                try:
+                    if n not in over and not sock.recv(1 << 16):
+                        over.add(n)
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    over.add(n)
+
+        def look() -> None:
+            nonlocal got, told
+            for listener in rig.doors.values():
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        sock = rig.keep(listener.accept()[0])
+                        try:
+                            data = sock.recv(1 << 16)
+                        except OSError:
+                            continue  # it came up and was given up
+                        if data.startswith(b"OPEN "):
+                            assert not left, "sent on for a client that has left"
+                            given_up()  # one that is over was closed before this one was opened
+                            assert len(over) == len(out), "two attempts at once"
+                            out.append(sock)
+            given_up()
+            if not left:
+                before = got
+                with contextlib.suppress(OSError):
+                    got += client.recv(1 << 16)
+                told = told or (rig.clock.now() if got != before else 0.0)
+
+        left = False
+        for n, what in enumerate(script):
+            if leaves and n == when and not got:
+                closed(client, leaves == "rst")
+                await rig.turns()
+                look()  # a line that was on its way in that instant
+                left = True
+            if what == "turns":
+                await rig.turns()
+            elif what in ("time", "long"):
+                for _ in range(30 if what == "long" else 5):
+                    await rig.run(10)
+                    look()
+            elif what in ("drain", "back"):
+                await rig.turns()
+                with contextlib.suppress(OSError):
+                    rig.say(s1="DRAINING" if what == "drain" else "SERVING")
+            elif what == "term":
+                stops = stops or asyncio.create_task(rig.program.leaving.stop(False, None))
+            elif out and len(out) - 1 not in over and not stood:
+                with contextlib.suppress(OSError):
+                    if what in ANSWERS:
+                        out[-1].sendall(ANSWERS[what])
+                        stood = what == "up"
+                    else:
+                        closed(out[-1], what == "rst")
+                if what in ("fin", "rst", "busy", "err", "junk"):
+                    over.add(len(out) - 1)
+            await rig.turns()
+            look()
+        while rig.clock.now() < began + 1600:
+            await rig.run(10)
+            look()
+        if not left:
+            assert got and (told <= began + 1550 or got.startswith(b"UP")), (got, told - began)
+            assert got.split()[0] in (b"UP", b"BUSY", b"ERR")
+            assert got.count(b"\n") == 1 or got == b"UP r\r\nMOVE\r\n"
+        for sock in [client, *out]:
+            sock.close()
+        async with asyncio.timeout(10):
+            while rig.commands or stops and not stops.done():
+                await rig.run(10)
+    played(story)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -100,5 +100,12 @@
     assert max(pace.grace + pace.retry(n) for n in range(1, 20)) < grace
 
 
+@given(st.floats(300.0, 20_000.0), st.integers(0, 2**32))
+def test_a_list_that_is_asked_for_is_asked_anew_within_the_grace(grace: float, seed: int) -> None:
+    """What a silent watch missed counts 2 s after its wait; half of the grace is left for the new call's answer."""
+    pace = Pace(4, True, random.Random(seed), grace)
+    assert pace.grace + pace.retry(1) - 2000.0 <= max(grace / 2, grace / 4 + 100)
+
+
 def test_a_list_that_is_asked_for_is_left_its_line() -> None:
     assert (Pace(4, True, random.Random(1)).wait, Pace(4, True, random.Random(1)).grace) == (10_000.0, 2500.0)
