Test the crossings that turned out sound: ends, hand-overs, moves of discovery, floods

Need: a test over loopback sockets for every crossing found, those that turned out sound included.

Cases: an answer and the process' end in one turn, either first; an answer in the instant in which it is waited for no longer; bytes or the client's end while a relay is handed over, taken or not; a flood behind a first line, in one piece or after it; a signal that came before the door was open; discovery that moves as its answer comes.

Each was seen to fail with a fault planted for it: a dismissal that a relay ignores, an answer before the attempt is closed, an attempt left open, pumps that are not stopped or not started again, early bytes passed over, a flood left unanswered, a signal that ends the program at once, versions kept over a move, an old address awaited.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -522,6 +522,97 @@
     played(story)
 
 
+@pytest.mark.parametrize("first", ["answer", "dismissal"])
+def test_one_that_came_up_as_the_process_ends_is_moved_and_one_dismissed_first_is_closed(first: str) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client = rig.client(LINE)
+        at = await rig.at("s1")
+        command = rig.commands["x1"]
+        answered = command.answered
+
+        def crossed(x, outcome) -> None:
+            order = [lambda: answered(x, outcome), lambda: command.mailbox.deliver(Dismiss(700))]
+            for act in order if first == "answer" else reversed(order):
+                act()
+        command.execution.done = crossed
+        at.sendall(b"UP r\r\n")
+        assert await rig.rest(at) == (b"", "fin")
+        assert await rig.rest(client) == (b"UP r\r\nMOVE\r\n" if first == "answer" else b"BUSY 700\r\n", "fin")
+    played(story)
+
+
+def test_an_answer_in_the_instant_in_which_it_is_waited_for_no_longer_counts_as_none() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open("s1", caps={**SETTINGS["caps"], "maxAttempts": 1})
+        client = rig.client(LINE)
+        at = await rig.at("s1")
+        at.sendall(b"UP r\r\n")
+        rig.clock.advance(1500)  # no turn of the loop between
+        assert await rig.rest(at) == (b"", "fin")
+        data, end = await rig.rest(client)
+        assert data.split()[0] in (b"BUSY", b"ERR") and data.count(b"\n") == 1 and end == "fin"
+    played(story)
+
+
+@pytest.mark.parametrize("taken", [True, False])
+@pytest.mark.parametrize("late", [b"a line\r\nhal", b""], ids=["bytes", "the client's end"])
+def test_what_comes_while_a_relay_is_handed_over_is_read_by_whoever_has_it(taken: bool, late: bytes) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        client, at = await rig.up()
+        command, elsewhere = rig.commands["x1"], []
+        await rig.until(command.still)
+
+        async def give(command) -> bool:
+            elsewhere.append(rig.keep(command.sock.dup()))
+            await rig.turns()
+            return taken
+        client.sendall(late) if late else client.shutdown(socket.SHUT_WR)  # no turn of the loop before the offer
+        handed = await command.hand_over(give)
+        assert handed is taken
+        if taken:
+            assert await rig.until(lambda: rig.read(elsewhere[0]) or not late) == (late or True)
+        elif late:
+            assert await rig.until(lambda: rig.read(at)) == late
+        else:
+            assert await rig.rest(at) == (b"", "fin")
+        at.close()
+    played(story)
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_a_flood_behind_a_first_line_has_its_answer_and_keeps_nobody_waiting(at_once: bool) -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        flood = rig.client(LINE.replace(b"x1", b"x9") + b"z" * 200_000 * at_once)
+        if not at_once:
+            await rig.at("s1")
+            flood.send(b"z" * 200_000)
+        client, at = await rig.up()
+        assert rig.read(flood) == b"ERR\r\n"
+        for sock in (flood, client, at):
+            sock.close()
+        await rig.until(lambda: not rig.commands)
+    played(story)
+
+
+def test_a_signal_that_came_before_the_door_was_open_ends_the_program_with_all_answered() -> None:
+    async def story(rig: Rig) -> None:
+        await rig.open(balancers=2)
+        stop, client = asyncio.Event(), rig.client(LINE)
+        stop.set()
+        end = asyncio.create_task(rig.program.until(stop))
+        at = await rig.at("s1")
+        at.sendall(b"UP r\r\n")
+        async with asyncio.timeout(10):
+            while not end.done():
+                await rig.run(10)
+        end.result()
+        assert rig.read(client) == b"UP r\r\nMOVE\r\n" and not rig.commands
+    played(story)
+
+
 # -- probes and the list ----------------------------------------------------------------------------
 
 PROBES = {**SETTINGS["caps"], "probes": True}
@@ -568,6 +659,23 @@
     played(story)
 
 
+@pytest.mark.parametrize("answered", [True, False])
+def test_discovery_that_moves_as_its_answer_comes_leaves_no_version_behind(answered: bool) -> None:
+    """The new one knows nothing of the old one's versions: it is asked for the whole list, and its list counts."""
+    async def story(rig: Rig) -> None:
+        await rig.open()
+        await rig.until(lambda: b"index=2" in rig.read(rig.list))
+        if answered:
+            rig.say(s1="DRAINING")  # no turn of the loop between
+        rig.discovery, rig.index = door(), 0
+        rig.program.table.move(rig.discovery.getsockname())
+        rig.list = await rig.accepted(rig.discovery)
+        assert (await rig.until(lambda: rig.read(rig.list))).startswith(b"GET /discovery/hosts HTTP")
+        rig.say()
+        await rig.up()
+    played(story)
+
+
 # -- any order ---------------------------------------------------------------------------------------
 
 STEPS = st.lists(st.one_of(
