--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from glenrock.config import check
 from glenrock.net.clock import SetClock
 from glenrock.net.command import Dismiss, Ended, Move
-from glenrock.net.entrance import IDLE_MS, LAST_MS
+from glenrock.net.entrance import IDLE_MS, LAST_MS, LINGER_MS
 from wheatrouter import interface as io
 
 LINE = b"OPEN x1 1 c=look,d=1500\r\n"
@@ -593,7 +593,8 @@
         assert rig.read(flood) == b"ERR\r\n"
         for sock in (flood, client, at):
             sock.close()
-        await rig.until(lambda: not rig.commands)
+        await rig.run(LINGER_MS + 20)
+        assert not rig.commands
     played(story)
 
 
