Test that a line whose writing was stopped may have run

Need: the crossing had a mend and no test of its own. A line longer than the system takes is stopped half out: an unsafe request is failed then, and no other instance gets it. Seen to fail with the mend taken out (three attempts).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,9 +20,11 @@
 
 from glenrock.__main__ import Program
 from glenrock.config import check
+from glenrock.net import instance as instance_part
 from glenrock.net.clock import SetClock
 from glenrock.net.command import Dismiss, Ended, Move
 from glenrock.net.entrance import IDLE_MS, LAST_MS, LINGER_MS
+from glenrock.net.errors import Reach
 from wheatrouter import interface as io
 
 LINE = b"OPEN x1 1 c=look,d=1500\r\n"
@@ -555,6 +557,26 @@
     played(story)
 
 
+def test_a_line_whose_writing_was_stopped_may_have_run(monkeypatch) -> None:
+    """Its last byte may be out: whoever may not be asked twice is failed, and no other instance gets it."""
+    monkeypatch.setattr(instance_part.lines, "with_wait", lambda line, ms: line + b"z" * (16 << 20))
+    async def story(rig: Rig) -> None:
+        await rig.open("s1", "s2", effect="unsafe")
+        client = rig.client(LINE)
+        await rig.until(lambda: rig.commands and rig.commands["x1"].execution
+                        and rig.commands["x1"].execution.reach == Reach.PARTLY_WRITTEN)
+        await rig.run(1600)
+        assert rig.read(client) == b"ERR\r\n"
+        came = 0
+        for listener in rig.doors.values():
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    rig.keep(listener.accept()[0])
+                    came += 1
+        assert came == 1
+    played(story)
+
+
 @pytest.mark.parametrize("taken", [True, False])
 @pytest.mark.parametrize("late", [b"a line\r\nhal", b""], ids=["bytes", "the client's end"])
 def test_what_comes_while_a_relay_is_handed_over_is_read_by_whoever_has_it(taken: bool, late: bytes) -> None:
