--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -12,6 +12,7 @@
 import os
 import traceback
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +32,7 @@
 
 if TYPE_CHECKING:
     from ..__main__ import Program
+    from .coldstart.keeper import Keeper
 
 S = 1_000_000
 TURN_PART, SHORTEST_S = 0.0125, 0.02  # of a lease, between two looks at the clock; renewals come long before an end
@@ -97,12 +99,23 @@
         self.bans = Bans(self) if self.file.jobs.bans else None
         self.turnstile = Turnstile(self, self.file.jobs.turnstile) if self.file.jobs.turnstile else None
         self.probing = Probing(self) if self.file.jobs.probe_shards else None
+        self.keeper = self.keeper_of(self.file.start) if self.file.start.keep else None
         if p.peers:
             p.peers.others = self.receive
 
+    def keeper_of(self, f: files.Start) -> Keeper:
+        from .coldstart.keeper import Keeper
+        from .coldstart.record import Trust
+
+        return Keeper(self.program, self.folder, self.name, Trust(f.list_ms, f.half_ms))
+
     # -- life ------------------------------------------------------------------------------------------
 
     def start(self) -> None:
+        p = self.program
+        if self.keeper:  # before the first list: what was kept serves until it comes
+            p.config = replace(p.config, known=self.keeper.read(p.config.known))
+            self.run(self.keeper.keep())
         try:
             if self.kept.read(self.fence, self.board):
                 say("fleet", f"{len(self.board.words)} words and {len(self.fence.seen)} terms read back")
@@ -284,6 +297,7 @@
                      for job, c in h.claims.items() if c.state != "idle" or job in h.jobs},
             "seen": self.fence.seen, "refused": self.fence.refused, "refusals": self.refusals,
             "words": {s: {"out": w.out, "revision": w.revision} for s, w in self.board.words.items()},
+            "start": self.keeper.says if self.keeper else "nothing is kept",
             "wishes": len(self.board.wishes), "digest": f"{self.board.digest:016x}",
             "ticket": self.turnstile.held if self.turnstile else ""}, indent=1)
 
--- a/glenrock/fleet/config.py
+++ b/glenrock/fleet/config.py
@@ -45,11 +45,21 @@
     probe_shards: bool = False
 
 
+class Start(Part):
+    """`keep`: the list and what was learned of clients are kept in `folder` for the next start. A list older than
+    `list_ms` is not used; what was learned counts half after `half_ms`."""
+
+    keep: bool = False
+    list_ms: Annotated[float, Meta(gt=0, le=604_800_000)] = 3_600_000.0
+    half_ms: Annotated[float, Meta(gt=0, le=604_800_000)] = 600_000.0
+
+
 class FleetFile(Part):
     folder: str  # what a balancer must know after its own restart stands there
     store: Where
     lease: Lease = Lease()
     jobs: Jobs = Jobs()
+    start: Start = Start()
 
 
 def load(path: Path) -> FleetFile:
--- a/glenrock/stage/spec.py
+++ b/glenrock/stage/spec.py
@@ -141,6 +141,7 @@
     bans: bool = True
     turnstile: Annotated[int, Meta(ge=0)] = 1
     probe_shards: bool = False
+    keep: bool = False  # the list and what was learned are kept for the next start
 
 
 AnyFault = Kill | Stop | Pause | Squeeze | InstanceKill | Drain | ListFault | Way | StoreFault | Ban | Ticket | Strikes
--- /dev/null
+++ b/tests/fleet/test_coldstart.py
@@ -0,0 +1,200 @@
+"""What is kept for a start: its form, what a start makes of it, and processes that start while the list is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenrock.fleet.coldstart import keeper as keeper_part
+from glenrock.fleet.coldstart.keeper import Keeper
+from glenrock.fleet.coldstart.record import LARGEST, Record, Trust, decode, encode, used
+from glenrock.net.clock import SetClock
+from wheatrouter import Balancer, estimates, recall
+from wheatrouter import interface as io
+
+TRUST = Trust(list_ms=60_000.0, half_ms=10_000.0)
+NOW = 1_000_000.0
+
+
+def row(name: str, since_ms: float = 5.0) -> dict:
+    return {"name": name, "address": "127.0.0.1:9", "zone": "a", "group": 0, "status": "SERVING", "weight": 1.0,
+            "since_ms": since_ms}
+
+
+def table(index: int = 7, *names: str) -> dict:
+    return {"index": index, "snapshot": True, "endpoints": [row(n) for n in names or ("s1", "s2")]}
+
+
+def record(**over) -> Record:
+    return Record(**{"at_ms": NOW, "boot": "b", "discovery": "d:1", "table": table(), "means": {"": (3.0, 40)}, **over})
+
+
+numbers = st.floats(0, 1e12)
+records = st.builds(
+    Record, numbers, st.text(max_size=20), st.text(max_size=20),
+    st.builds(lambda i, names: {"index": i, "snapshot": True, "endpoints": [row(n) for n in names]},
+              st.integers(-1, 1 << 53), st.lists(st.text(min_size=1, max_size=8), max_size=5)),
+    st.dictionaries(st.text(max_size=8), st.tuples(numbers, st.integers(0, 1 << 40)), max_size=4))
+
+
+@given(records)
+def test_what_is_written_is_read_back(r: Record) -> None:
+    assert decode(encode(r)) == r
+
+
+@given(records, st.integers(0, 10_000), st.integers(1, 255))
+def test_a_file_that_is_cut_or_spoilt_anywhere_is_refused_and_nothing_else_is_raised(r, at: int, change: int) -> None:
+    data = encode(r)
+    at %= len(data)
+    for spoilt in (data[:at], data[:at] + bytes([data[at] ^ change]) + data[at + 1:]):
+        with pytest.raises(ValueError):
+            decode(spoilt)
+
+
+@pytest.mark.parametrize("data,said", [
+    (b"", "not a file of this kind"), (b"x" * (LARGEST + 1), "too large"),
+    (encode(record()).replace(b"start 1", b"start 2", 1), "version 2, 1 is known"),
+    (encode(record()) + b" ", "the digest is wrong"),
+    (encode(record(table={"index": "7", "snapshot": True, "endpoints": []})), "not what it should be"),
+    (encode(record(means={"": (float("nan"), 1)})), "not what it should be"),
+    (encode(record(means={"": (-1.0, 1)})), "not what it should be")])
+def test_what_cannot_be_used_is_said(data: bytes, said: str) -> None:
+    with pytest.raises(ValueError, match=said):
+        decode(data)
+
+
+def test_a_record_larger_than_a_start_would_read_is_not_written() -> None:
+    with pytest.raises(ValueError, match="at most"):
+        encode(record(table=table(1, *(f"s{n:060d}" for n in range(30_000)))))
+
+
+@pytest.mark.parametrize("known,over,age,names,means", [
+    ({}, {}, 1000.0, ["s1", "s2"], {"": (3.0, 37)}),
+    ({}, {}, 20_000.0, ["s1", "s2"], {"": (3.0, 10)}),
+    ({}, {}, 59_000.0, ["s1", "s2"], {"": (3.0, 1)}),
+    ({}, {}, 61_000.0, None, {"": (3.0, 1)}),
+    ({}, {}, 86_400_000.0, None, {}),
+    ({}, {}, -1.0, None, {}),  # the clock went back
+    (table(6, "old"), {}, 1000.0, ["s1", "s2"], {"": (3.0, 37)}),
+    (table(7, "given"), {}, 1000.0, ["given"], {"": (3.0, 37)}),
+    (table(9, "given"), {}, 1000.0, ["given"], {"": (3.0, 37)}),
+    (table(6, "given"), {"discovery": "e:1"}, 1000.0, ["given"], {"": (3.0, 37)}),  # versions of two do not compare
+    ({"index": 9, "endpoints": []}, {}, 1000.0, ["s1", "s2"], {"": (3.0, 37)}),
+    ({"index": "x", "endpoints": [1]}, {}, 1000.0, None, {"": (3.0, 37)}),
+])
+def test_what_a_start_uses_of_it(known, over, age, names, means) -> None:
+    u = used(record(**over), known, NOW + age, "b", "d:1", TRUST)
+    assert u.means == means
+    assert u.table == known if names is None else [r["name"] for r in u.table["endpoints"]] == names
+    assert u.why
+
+
+def test_after_a_boot_the_servers_of_an_old_list_are_held_for_cold() -> None:
+    u = used(record(), {}, NOW + 1000, "another", "d:1", TRUST)
+    assert [r["since_ms"] for r in u.table["endpoints"]] == [NOW + 1000] * 2 and "cold" in u.why
+    assert [r["since_ms"] for r in record().table["endpoints"]] == [5.0] * 2, "the record itself is as it was"
+
+
+SETTINGS = io.Settings(classes=(io.RequestClass("look", 300_000, 1_500_000), io.RequestClass("write", 1, 2)))
+
+
+def test_loads_that_are_known_again_weigh_less_the_older_they_are() -> None:
+    """A class that has become three times as heavy: what was kept fresh holds it up, what is old hardly does."""
+    draw, found = random.Random(1), []
+    for count in (40, 4):
+        b = Balancer(SETTINGS, 1)
+        recall.take(b, SETTINGS, {"": (2.0, count), "look": (2.0, count), "gone": (9.0, 9), "write": (0.0, 9)})
+        assert estimates.load_of(b, "look") == 2.0 and estimates.load_of(b, "write") == 2.0 and "gone" not in b.means
+        for _ in range(20):
+            estimates.count(b, "look", 6.0 * (0.9 + draw.random() / 5))
+        found.append(estimates.load_of(b, "look"))
+    assert 2.5 < found[0] < 4.0 < found[1] < 6.0
+    b = Balancer(SETTINGS, 1)
+    estimates.count(b, "look", 5.0)
+    recall.take(b, SETTINGS, {"look": (2.0, 9)})
+    assert estimates.load_of(b, "look") == 5.0, "what this process has heard goes before"
+    assert recall.told(b) == {"": (5.0, 1), "look": (5.0, 1)}
+
+
+@pytest.fixture
+def said(monkeypatch) -> list[str]:
+    """Lines of the log, all of them: standard error gets five of a kind a second."""
+    lines: list[str] = []
+    monkeypatch.setattr(keeper_part, "say", lambda kind, text: lines.append(f"{kind}: {text}"))
+    return lines
+
+
+def keeper(folder: Path, version: int = 3) -> Keeper:
+    entry = SimpleNamespace(name="s1", address=("127.0.0.1", 9), zone="a", group=0, status="SERVING", weight=1.0,
+                            since_ms=5.0)
+    gone = SimpleNamespace(**{**vars(entry), "name": "s2", "status": "DELETED"})
+    heard = asyncio.Event()
+    heard.set()
+    program = SimpleNamespace(
+        clock=SetClock(NOW), decider=SimpleNamespace(balancer=Balancer(SETTINGS, 1)),
+        table=SimpleNamespace(address=("d", 1), newest=version, first=heard),
+        instances=SimpleNamespace(all={"s1": SimpleNamespace(entry=entry), "s2": SimpleNamespace(entry=gone)}))
+    return Keeper(program, folder, "n0", TRUST)
+
+
+def test_it_is_written_when_the_list_changes_and_now_and_then_and_never_before_discovery_was_heard(tmp_path) -> None:
+    async def story() -> None:
+        k, written = keeper(tmp_path), []
+        write = k.write
+        k.write = lambda data: (write(data), written.append(decode(data).table["index"]))
+        k.program.table.newest = -1
+        await k.step()
+        assert not written and not k.path.exists()
+        for version, later in ((3, 0), (3, 500), (4, 500), (4, 9000), (4, 1000)):
+            k.program.table.newest = version
+            k.clock.time += later
+            await k.step()
+        assert written == [3, 4, 4]
+        assert [r["name"] for r in decode(k.path.read_bytes()).table["endpoints"]] == ["s1"]
+        assert sorted(p.name for p in tmp_path.iterdir()) == ["glenrock-n0.start"]
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("spoil,why", [
+    (lambda p: p.write_bytes(p.read_bytes()[:-3]), "is put aside: the digest is wrong"),
+    (lambda p: p.write_bytes(b"\0" * 50), "is put aside: not a file of this kind"),
+    (lambda p: (p.unlink(), p.mkdir()), "is put aside"),
+    (lambda p: p.unlink(), "nothing was kept")])
+def test_a_spoilt_file_is_put_aside_and_the_start_goes_on_without(tmp_path, said, spoil, why) -> None:
+    async def story() -> None:
+        k = keeper(tmp_path)
+        await k.step()
+        spoil(k.path)
+        again = keeper(tmp_path)
+        assert again.read({"index": 1}) == {"index": 1} and why in again.says
+        assert said == ([f"start: {again.says}"] if "aside" in why else [])
+        await again.step()
+        assert decode(again.path.read_bytes()).table["index"] == 3, "and it is written anew"
+        assert Path(f"{again.path}.spoilt").exists() is ("aside" in why)
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("how", ["open", "fsync", "replace"])
+def test_a_disk_that_cannot_be_written_is_told_and_what_stands_there_stays(tmp_path, said, monkeypatch, how) -> None:
+    """Full at any step: a start reads the old record whole."""
+    async def story() -> None:
+        k = keeper(tmp_path)
+        await k.step()
+        before = k.path.read_bytes()
+        k.program.table.newest = 9
+        with monkeypatch.context() as m:
+            def full(*_, **__) -> None:
+                raise OSError(28, "No space left on device")
+            m.setattr("builtins.open" if how == "open" else f"os.{how}", full)
+            await k.step()
+        assert len(said) == 1 and f"{k.path} cannot be written: [Errno 28] No space left" in said[0]
+        assert k.path.read_bytes() == before
+        await k.step()
+        assert decode(k.path.read_bytes()).table["index"] == 9, "tried again"
+    asyncio.run(story())
--- /dev/null
+++ b/tests/stage/test_coldstart.py
@@ -0,0 +1,35 @@
+"""Processes that start anew while the list service says nothing, with and without what was kept."""
+
+from __future__ import annotations
+
+import pytest
+
+from glenrock.stage.history import S
+
+from .scenes import played
+
+SILENT = [{"kind": "list_fault", "at_s": 3.0, "how": "silent", "for_s": 4.0}]
+CUT = [{"kind": "way", "at_s": 3.0, "source": "balancer:*", "target": "list", "cut": True, "for_s": 4.0}]
+KILLED = [{"kind": "kill", "at_s": 3.3, "balancer": n, "down_s": 0.3} for n in range(3)]
+# They come back one after another, and the second life of one ends soon after it has begun.
+AGAIN = [{"kind": "kill", "at_s": 3.3 + n / 2, "balancer": n % 3, "down_s": 0.3} for n in range(4)]
+# What was kept says that it is there: it died while nobody could hear of it.
+GONE = [{"kind": "instance_kill", "at_s": 3.2, "instance": 1, "down_s": 5.0}]
+
+
+@pytest.mark.parametrize("keep,faults", [
+    (False, [*SILENT, *KILLED]), (True, [*SILENT, *KILLED]), (True, [*CUT, *KILLED]), (True, [*SILENT, *AGAIN, *GONE])],
+    ids=["nothing kept", "killed at once", "cut from the list", "killed in turn, a server gone"])
+def test_all_that_start_while_the_list_is_silent_serve_by_what_was_kept(keep: bool, faults: list) -> None:
+    stage, s = played(seed=3, length_s=10.0, rig={"known": False}, together={"store": "sqlite", "keep": keep},
+                      faults=faults)
+    assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
+    day = stage.history.day
+    ups = [e.at - day for e in stage.history.each("up")]
+    broken = [e.at - day for e in stage.history.each("over")]
+    assert s["counts"]["broken"] >= 10 and broken
+    silent = [at for at in ups if 4.0 * S <= at < 6.9 * S]  # all are up again, and the list is not
+    assert (len(silent) >= 10) is keep and bool(silent) is keep, (len(silent), s["counts"])
+    lines = [str(e.data["text"]) for e in stage.history.each("log") if "start: " in str(e.data["text"])]
+    assert sum("its list of 4 servers is used" in line for line in lines) == keep * (len(faults) - len(SILENT)
+                                                                                    - (GONE[0] in faults))
