Space the starts of a balancer that dies again and again, where the operator's file says

On the stage one of three is killed each second, seven times: each life is taken in by the front, takes clients and breaks them (taken in after 1.8, 2.8, 3.8, 4.8, 5.8, 6.8 s).

What the neighbours know of its past starts is not used: its folder has to survive.

--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -195,6 +195,8 @@
     loop.add_signal_handler(signal.SIGHUP, again)
     if early:  # the file may have changed after it was read
         again()
+    if program.fleet:
+        await program.fleet.space(stop)
     await program.start()
     await program.until(stop)
 
--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from ..__main__ import Program
     from .coldstart.keeper import Keeper
+    from .coldstart.starts import Starts
 
 S = 1_000_000
 TURN_PART, SHORTEST_S = 0.0125, 0.02  # of a lease, between two looks at the clock; renewals come long before an end
@@ -100,6 +101,7 @@
         self.turnstile = Turnstile(self, self.file.jobs.turnstile) if self.file.jobs.turnstile else None
         self.probing = Probing(self) if self.file.jobs.probe_shards else None
         self.keeper = self.keeper_of(self.file.start) if self.file.start.keep else None
+        self.starts = self.starts_of(self.file.start) if self.file.start.spaced else None
         if p.peers:
             p.peers.others = self.receive
 
@@ -109,6 +111,11 @@
 
         return Keeper(self.program, self.folder, self.name, Trust(f.list_ms, f.half_ms))
 
+    def starts_of(self, f: files.Start) -> Starts:
+        from .coldstart.starts import Spacing, Starts
+
+        return Starts(self.folder, self.name, Spacing(f.sound_ms, f.most_wait_ms), self.clock.now)
+
     # -- life ------------------------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -139,8 +146,15 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def space(self, stop: asyncio.Event) -> None:
+        """Before anything is served or asked for: a process that dies again and again waits."""
+        if self.starts:
+            await self.starts.space(stop)
+
     async def stop(self) -> None:
         """Gives back what it owns, but for a ticket: the restart that it was for goes on without this process."""
+        if self.starts:
+            await asyncio.to_thread(self.starts.ended)
         keep = self.turnstile.held if self.turnstile else ""
         for job in [j for j in self.holdings.claims if j != keep]:
             asks, events = self.holdings.leave(job, boottime_us())
--- a/glenrock/fleet/config.py
+++ b/glenrock/fleet/config.py
@@ -47,11 +47,15 @@
 
 class Start(Part):
     """`keep`: the list and what was learned of clients are kept in `folder` for the next start. A list older than
-    `list_ms` is not used; what was learned counts half after `half_ms`."""
+    `list_ms` is not used; what was learned counts half after `half_ms`. `spaced`: a balancer whose lives end within
+    `sound_ms` again and again comes back ever later, `most_wait_ms` at the longest."""
 
     keep: bool = False
     list_ms: Annotated[float, Meta(gt=0, le=604_800_000)] = 3_600_000.0
     half_ms: Annotated[float, Meta(gt=0, le=604_800_000)] = 600_000.0
+    spaced: bool = False
+    sound_ms: Annotated[float, Meta(gt=0, le=3_600_000)] = 10_000.0
+    most_wait_ms: Annotated[float, Meta(gt=0, le=3_600_000)] = 20_000.0
 
 
 class FleetFile(Part):
--- a/glenrock/stage/spec.py
+++ b/glenrock/stage/spec.py
@@ -142,6 +142,8 @@
     turnstile: Annotated[int, Meta(ge=0)] = 1
     probe_shards: bool = False
     keep: bool = False  # the list and what was learned are kept for the next start
+    spaced: bool = False  # one whose lives end within `sound_ms`, again and again, comes back ever later
+    sound_ms: Above0R = 3000.0
 
 
 AnyFault = Kill | Stop | Pause | Squeeze | InstanceKill | Drain | ListFault | Way | StoreFault | Ban | Ticket | Strikes
--- a/glenrock/stage/together.py
+++ b/glenrock/stage/together.py
@@ -52,7 +52,7 @@
             store["path"] = str(self.path)
         tables = {"store": store, "lease": {"lease_ms": t.lease_ms, "drift": t.drift, "ask_ms": t.ask_ms},
                   "jobs": {"bans": t.bans, "turnstile": t.turnstile, "probe_shards": t.probe_shards},
-                  "start": {"keep": t.keep}}
+                  "start": {"keep": t.keep, "spaced": t.spaced, "sound_ms": t.sound_ms}}
         lines = [f"folder = {json.dumps(str(folder))}"]
         for name, values in tables.items():
             lines += [f"[{name}]", *(f"{key} = {json.dumps(value)}" for key, value in values.items())]
--- a/tests/fleet/test_coldstart.py
+++ b/tests/fleet/test_coldstart.py
@@ -12,8 +12,10 @@
 from hypothesis import strategies as st
 
 from glenrock.fleet.coldstart import keeper as keeper_part
+from glenrock.fleet.coldstart import starts as starts_part
 from glenrock.fleet.coldstart.keeper import Keeper
 from glenrock.fleet.coldstart.record import LARGEST, Record, Trust, decode, encode, used
+from glenrock.fleet.coldstart.starts import MOST, Spacing, Starts
 from glenrock.net.clock import SetClock
 from wheatrouter import Balancer, estimates, recall
 from wheatrouter import interface as io
@@ -126,7 +128,8 @@
 def said(monkeypatch) -> list[str]:
     """Lines of the log, all of them: standard error gets five of a kind a second."""
     lines: list[str] = []
-    monkeypatch.setattr(keeper_part, "say", lambda kind, text: lines.append(f"{kind}: {text}"))
+    for part in (keeper_part, starts_part):
+        monkeypatch.setattr(part, "say", lambda kind, text: lines.append(f"{kind}: {text}"))
     return lines
 
 
@@ -198,3 +201,82 @@
         await k.step()
         assert decode(k.path.read_bytes()).table["index"] == 9, "tried again"
     asyncio.run(story())
+
+
+SPACING = Spacing(sound_ms=8000.0, most_ms=5000.0)
+
+
+@pytest.mark.parametrize("lives,now,wait", [
+    ([], 0, 0.0), ([0], 100, 0.0), ([0], 9000, 0.0),  # the first death costs nothing
+    ([0, 100], 200, 500.0), ([0, 100, 200], 300, 1000.0), ([0, 1, 2, 3], 4, 2000.0), ([0, 1, 2, 3, 4], 5, 4000.0),
+    ([0, 1, 2, 3, 4, 5], 6, 5000.0),  # bounded
+    ([0, 100, 8200], 8300, 0.0),  # a sound life ended the row
+    ([0, 7000, 14_000], 21_000, 1000.0),
+    ([0, 100], 8200, 0.0),  # the last life was sound
+    ([300, 100, 200], 400, 1000.0),  # in any order
+    ([10_000, 20_000, 30_000], 100, 0.0)])  # the clock went back
+def test_a_start_after_lives_that_ended_too_soon_waits(lives, now, wait) -> None:
+    assert SPACING.wait([NOW + at for at in lives], NOW + now) == wait
+
+
+whole = st.integers(0, 1_000_000)
+
+
+@given(st.lists(whole, max_size=MOST), whole, st.integers(1, 100_000), st.integers(1, 100_000))
+def test_no_wait_is_longer_than_the_longest_and_none_follows_one_death(lives, now, sound, most) -> None:
+    s = Spacing(sound, most)
+    assert 0 <= s.wait(lives, now) <= most
+    assert s.wait(lives[:1], now) == 0.0
+    oldest = min([at for at in lives if at <= now] + [now])
+    assert s.deaths([oldest - sound, *lives], now) == s.deaths(lives, now), "a sound life ends the row"
+    assert s.deaths([oldest - sound + 1, *lives], now) >= s.deaths(lives, now)
+
+
+def test_starts_are_counted_over_lives_and_an_end_by_sigterm_is_no_death(tmp_path, said) -> None:
+    async def story() -> None:
+        clock, waited = SetClock(NOW), []
+        stop = asyncio.Event()
+        stop.set()  # told to end at once: no start of this test waits in fact
+        for n in range(5):
+            starts = Starts(tmp_path, "n0", SPACING, clock.now)
+            waited.append(SPACING.wait(starts.read(), clock.now()))
+            await starts.space(stop)
+            clock.time += 100
+            if n == 3:
+                starts.ended()
+        assert waited == [0.0, 0.0, 500.0, 1000.0, 1000.0]
+        assert [line.partition(" lives")[0] for line in said] == ["start: 2", "start: 3", "start: 3"]
+        dies = Starts(tmp_path, "n0", SPACING, clock.now)
+        waiting = asyncio.create_task(dies.space(asyncio.Event()))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        assert len(starts.read()) == 5, "one that dies while it waits has died as well"
+        for _ in range(30):
+            starts.write([*starts.read(), clock.now()])
+        assert len(starts.read()) == MOST
+    asyncio.run(story())
+
+
+def test_a_wait_lasts_its_time_and_ends_when_the_process_is_told_to_end(tmp_path) -> None:
+    async def story() -> None:
+        clock, stop = SetClock(NOW), asyncio.Event()
+        starts = Starts(tmp_path, "n0", Spacing(1600.0, 60_000.0), clock.now)
+        starts.write([NOW - n for n in range(1, 3)])
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await starts.space(stop)
+        assert loop.time() - began >= 0.099
+        starts.write([NOW - n for n in range(1, 12)])  # 51 s
+        waiting = asyncio.create_task(starts.space(stop))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        stop.set()
+        await asyncio.wait_for(waiting, 5)
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b'["x"]', b"[1, ", b"\xff"])
+def test_starts_that_cannot_be_read_count_as_none_and_are_told(tmp_path, said, data: bytes) -> None:
+    starts = Starts(tmp_path, "n0", SPACING, lambda: NOW)
+    starts.path.write_bytes(data)
+    assert starts.read() == [] and len(said) == 1 and f"{starts.path} is left aside" in said[0]
