Tell what a start came to: milestones of each balancer, put together by glenrock fleet start-report

Change: glenrock/fleet/coldstart/milestones.py (begun, waited, list, ready, heard, served; calls counted round the pace; what the first 5 s came to) and report.py (pure); GET /v1/fleet tells them under "start"; a sub-command asks and adds up. Not in it: the longest line (only the list service knows it), probes, and the fleet's share of what it could serve.

Seen with it: a start with a kept list hears the list service up to 12.5 s late when that was silent at the first call, since its first call is a watch. It serves meanwhile; noted.

--- /dev/null
+++ b/glenrock/cli/fleet_start.py
@@ -0,0 +1,30 @@
+"""`glenrock fleet start-report`: what a start came to at each balancer, and for all."""
+
+from __future__ import annotations
+
+import click
+
+from . import fleet_ask as ask
+from .main import Failed
+
+
+@click.command("start-report")
+@click.option("--at", multiple=True, required=True,
+              help="A balancer's operators' address, host:port. Repeatable.")
+def command(at: tuple[str, ...]) -> None:
+    """When each balancer was ready, had heard the list and served, and what that cost in calls.
+
+    \b
+    Attempts, clients brought up, refused and failed are those of the first 5 s of service.
+    Example:
+      glenrock fleet start-report --at 127.0.0.1:9090 --at 127.0.0.1:9091
+    Exit codes: 0 done, 1 a balancer does not answer or is of another version, 2 bad input.
+    """
+    from ..fleet.coldstart.report import report
+
+    views = {address: ask.view(address) for address in dict.fromkeys(at)}
+    for address, view in views.items():
+        if not isinstance(view.get("start"), dict):
+            raise Failed(f"{address}: tells nothing of its start: another version")
+    for line in report(list(views.values())):
+        click.echo(line)
--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -21,6 +21,7 @@
 from ..toml_file import BadFile
 from . import config as files
 from . import wire
+from .coldstart.milestones import Milestones
 from .jobs.board import Board
 from .kept import Kept
 from .ownership.claim import Ended, Rules
@@ -102,6 +103,7 @@
         self.probing = Probing(self) if self.file.jobs.probe_shards else None
         self.keeper = self.keeper_of(self.file.start) if self.file.start.keep else None
         self.starts = self.starts_of(self.file.start) if self.file.start.spaced else None
+        self.milestones = Milestones(p)
         if p.peers:
             p.peers.others = self.receive
 
@@ -120,9 +122,13 @@
 
     def start(self) -> None:
         p = self.program
+        given = p.config.known
         if self.keeper:  # before the first list: what was kept serves until it comes
-            p.config = replace(p.config, known=self.keeper.read(p.config.known))
+            p.config = replace(p.config, known=self.keeper.read(given))
             self.run(self.keeper.keep())
+        kept = p.config.known is not given
+        self.milestones.start("kept" if kept else "given" if given.get("endpoints") else "none")
+        self.run(self.milestones.watch())
         try:
             if self.kept.read(self.fence, self.board):
                 say("fleet", f"{len(self.board.words)} words and {len(self.fence.seen)} terms read back")
@@ -311,7 +317,7 @@
                      for job, c in h.claims.items() if c.state != "idle" or job in h.jobs},
             "seen": self.fence.seen, "refused": self.fence.refused, "refusals": self.refusals,
             "words": {s: {"out": w.out, "revision": w.revision} for s, w in self.board.words.items()},
-            "start": self.keeper.says if self.keeper else "nothing is kept",
+            "start": {"says": self.keeper.says if self.keeper else "nothing is kept", **self.milestones.view()},
             "wishes": len(self.board.wishes), "digest": f"{self.board.digest:016x}",
             "ticket": self.turnstile.held if self.turnstile else ""}, indent=1)
 
--- a/tests/fleet/test_coldstart.py
+++ b/tests/fleet/test_coldstart.py
@@ -14,9 +14,12 @@
 from glenrock.fleet.coldstart import keeper as keeper_part
 from glenrock.fleet.coldstart import starts as starts_part
 from glenrock.fleet.coldstart.keeper import Keeper
+from glenrock.fleet.coldstart.milestones import CountedPace
 from glenrock.fleet.coldstart.record import LARGEST, Record, Trust, decode, encode, used
+from glenrock.fleet.coldstart.report import HEAD, report
 from glenrock.fleet.coldstart.starts import MOST, Spacing, Starts
 from glenrock.net.clock import SetClock
+from glenrock.net.pace import Pace
 from wheatrouter import Balancer, estimates, recall
 from wheatrouter import interface as io
 
@@ -280,3 +283,38 @@
     starts = Starts(tmp_path, "n0", SPACING, lambda: NOW)
     starts.path.write_bytes(data)
     assert starts.read() == [] and len(said) == 1 and f"{starts.path} is left aside" in said[0]
+
+
+def view(name: str, begun: float, **over) -> dict:
+    start = {"begun_ms": begun, "waited_ms": 0, "ready_ms": begun + 300, "heard_ms": begun + 200,
+             "served_ms": begun + 900, "list": "kept", "calls": {"answered": 2, "refused": 0, "failed": 0},
+             "first": {"attempts": 9, "up": 8, "refused": 1, "failed": 0}}
+    return {"name": name, "start": {**start, **over}}
+
+
+def test_a_report_puts_starts_side_by_side_and_names_who_is_missing() -> None:
+    calls = {"answered": 1, "refused": 2, "failed": 3}
+    lines = report([view("n1", NOW + 500, waited_ms=1250, list="none", calls=calls), view("n0", NOW)])
+    assert [line.split() for line in lines[:3]] == [
+        list(HEAD),
+        "n0 0.00 s - kept 0.30 s 0.20 s 0.90 s 2 9 8 1 0".split(),
+        "n1 0.50 s 1.25 s none 0.30 s 0.20 s 0.90 s 1 and 5 not 9 8 1 0".split()]
+    assert lines[3:] == ["all doors are open: 0.80 s after the first process began",
+                         "all have heard the list: 0.70 s after the first process began",
+                         "all have served: 1.40 s after the first process began",
+                         "calls for the list: 4.0 a balancer, 2 refused, 3 failed"]
+    late = report([view("n0", NOW), *(view(f"m{n}", NOW, heard_ms=0, served_ms=0) for n in range(6))])
+    assert "all have heard the list: not yet: m0, m1, m2, m3, m4 and more" in late
+    assert "all doors are open: 0.30 s after the first process began" in late
+
+
+def test_calls_for_the_list_are_counted_and_the_pace_is_the_one_that_was() -> None:
+    one, other = (Pace(200, True, random.Random(1)) for _ in range(2))
+    counted = CountedPace(one)
+    assert (counted.must_ask, counted.wait, counted.grace) == (other.must_ask, other.wait, other.grace)
+    for _ in range(3):
+        assert counted.overbooked() == other.overbooked() and counted.retry(2) == other.retry(2)
+    counted.heard()
+    other.heard()
+    assert counted.overbooked() == other.overbooked() and counted.first(False) == other.first(False)
+    assert (counted.answered, counted.refused, counted.failed) == (1, 4, 3)
--- a/tests/stage/test_coldstart.py
+++ b/tests/stage/test_coldstart.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import tempfile
+from pathlib import Path
+
 import pytest
 
+from glenrock.cli.main import run as command
+from glenrock.stage import run
 from glenrock.stage.history import S
+from glenrock.stage.run import Stage
 
-from .scenes import played
+from .scenes import played, scene
 
 SILENT = [{"kind": "list_fault", "at_s": 3.0, "how": "silent", "for_s": 4.0}]
 CUT = [{"kind": "way", "at_s": 3.0, "source": "balancer:*", "target": "list", "cut": True, "for_s": 4.0}]
@@ -52,3 +58,26 @@
     assert taken[-1] > 7.0, "it serves once it lives"
     ups = [e for e in stage.history.each("up") if (e.at - day) / S > taken[-1]]
     assert ups or s["counts"]["set_up"] > 20
+
+
+def test_each_process_tells_what_its_start_came_to_and_the_command_puts_it_together(capsys) -> None:
+    """Two of three are killed while the list is silent, and asked while they serve without it."""
+    found: list[tuple[int, str]] = []
+
+    def live(stage: Stage) -> None:
+        if not found and stage.clients.seconds() > 6:
+            at = [f"{host}:{port}" for host, port in map(stage.net.admin, range(3))]
+            code = command(["fleet", "start-report", *(word for address in at for word in ("--at", address))])
+            found.append((code, capsys.readouterr().out))
+    with tempfile.TemporaryDirectory() as folder:
+        told = scene(length_s=8.0, rig={"known": False}, together={"store": "sqlite", "keep": True},
+                     faults=[*SILENT, *KILLED[:2]])
+        run.play(told, 3, Path(folder), live)
+    [(code, text)] = found
+    rows = {line.split()[0]: line for line in text.splitlines()}
+    assert code == 0 and text.splitlines()[1].startswith("n2") and {"n0", "n1", "n2"} <= set(rows), text
+    assert " kept " in rows["n0"] and " kept " in rows["n1"] and " none " in rows["n2"], text
+    missing = text.partition("all have heard the list: not yet: ")[2].partition("\n")[0]
+    calls = float(text.partition("calls for the list: ")[2].split()[0])  # of n2; the others wait in vain
+    assert set(missing.split(", ")) == {"n0", "n1"} and 0.3 <= calls < 3, text
+    assert "all doors are open: not yet" not in text and not rows["n2"].endswith(" 0  0   0        0"), text
