--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from glenrock.config import check
 from glenrock.net import instance as instance_part
 from glenrock.net.clock import SetClock
-from glenrock.net.command import Dismiss, Ended, Move
+from glenrock.net.command import Command, Dismiss, Ended, Move
 from glenrock.net.entrance import IDLE_MS, LAST_MS, LINGER_MS
 from glenrock.net.errors import Reach
 from wheatrouter import interface as io
@@ -149,6 +149,12 @@
         for _ in range(10):
             await asyncio.sleep(0.0002)
 
+    async def asked(self) -> tuple[socket.socket, socket.socket, Command]:
+        """A program, and a request that has been sent on and waits for its answer."""
+        await self.open()
+        client = self.client(LINE)
+        return client, await self.at("s1"), self.commands["x1"]
+
     async def up(self, data: bytes = LINE) -> tuple[socket.socket, socket.socket]:
         client = self.client(data)
         at = await self.at("s1")
@@ -448,10 +454,7 @@
 
 def test_one_that_came_up_as_it_was_refused_stands_and_the_module_knows_it() -> None:
     async def story(rig: Rig) -> None:
-        await rig.open()
-        client = rig.client(LINE)
-        at = await rig.at("s1")
-        command = rig.commands["x1"]
+        client, at, command = await rig.asked()
         answered = command.answered
 
         def crossed(x, outcome) -> None:  # the answer, and right behind it the module's last word
@@ -469,10 +472,7 @@
 
 def test_one_that_comes_up_after_it_was_refused_is_closed_before_its_client_hears() -> None:
     async def story(rig: Rig) -> None:
-        await rig.open()
-        client = rig.client(LINE)
-        at = await rig.at("s1")
-        command = rig.commands["x1"]
+        client, at, command = await rig.asked()
         answered = command.answered
         command.execution.done = lambda x, outcome: (refused(rig, command), answered(x, outcome))
         at.sendall(b"UP r\r\n")
@@ -527,10 +527,7 @@
 @pytest.mark.parametrize("first", ["answer", "dismissal"])
 def test_one_that_came_up_as_the_process_ends_is_moved_and_one_dismissed_first_is_closed(first: str) -> None:
     async def story(rig: Rig) -> None:
-        await rig.open()
-        client = rig.client(LINE)
-        at = await rig.at("s1")
-        command = rig.commands["x1"]
+        client, at, command = await rig.asked()
         answered = command.answered
 
         def crossed(x, outcome) -> None:
