--- a/wheatrouter/recall.py
+++ b/wheatrouter/recall.py
@@ -18,8 +18,9 @@
 
 
 def take(m: Memory, settings: io.Settings, means: dict[str, tuple[float, int]]) -> None:
-    """Starts from there, where nothing has been learned yet. Classes that the settings do not have are left out."""
+    """Starts from there, where nothing has been learned yet. Classes not in the settings are left out."""
+    known = {"", *(c.name for c in settings.classes)}
     for name, (mean, count) in means.items():
-        if (not name or any(c.name == name for c in settings.classes)) and name not in m.means and mean > 0:
+        if name in known and name not in m.means and mean > 0:
             m.means[name] = mean, min(count, MOST)
     m.mean_load = m.means.get("", (m.mean_load, 0))[0]
