--- a/wheatrouter/recall.py
+++ b/wheatrouter/recall.py
@@ -1,6 +1,7 @@
 """What a balancer has learned of clients and a later start of it may know: the mean loads of their classes.
 
-Not the cap, the shares or the servers' loads: these are of the moment, and wrong for the wave that a start meets.
+Not the cap, the shares or the servers' loads: these are of the moment, and wrong for the wave that a start
+meets.
 """
 
 from __future__ import annotations
