--- a/glenrock/fleet/agent.py
+++ b/glenrock/fleet/agent.py
@@ -159,8 +159,6 @@
 
     async def stop(self) -> None:
         """Gives back what it owns, but for a ticket: the restart that it was for goes on without this process."""
-        if self.starts:
-            await asyncio.to_thread(self.starts.ended)
         keep = self.turnstile.held if self.turnstile else ""
         for job in [j for j in self.holdings.claims if j != keep]:
             asks, events = self.holdings.leave(job, boottime_us())
@@ -171,6 +169,8 @@
                     self.tell(wire.Free(job))
         for task in list(self.tasks):
             task.cancel()
+        if self.starts:  # after the jobs are free: a disk may take seconds
+            await asyncio.to_thread(self.starts.ended)
         with contextlib.suppress(Exception):
             await asyncio.wait_for(self.store.close(), 0.3)
 
