--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -12,8 +12,17 @@
 STEPS = 12_000
 SETTINGS = interface.Settings(
     classes=(interface.RequestClass("r", 300_000, 1_500_000, 60_000),),
-    balancers=3, zone="a", max_attempts=4, may_health_check=True, may_gossip=True, may_cancel=True,
-    load_report_fields=("load_ratio",), reports_message_delay=True, cross_zone_cost=0.02, health_check_cost=0.002)
+    balancers=3,
+    zone="a",
+    max_attempts=4,
+    may_health_check=True,
+    may_gossip=True,
+    may_cancel=True,
+    load_report_fields=("load_ratio",),
+    reports_message_delay=True,
+    cross_zone_cost=0.02,
+    health_check_cost=0.002,
+)
 
 
 class Stream:
@@ -23,16 +32,20 @@
         self.rng, self.now, self.requests, self.spent_s = random.Random(3), 1_000_000, 0, 0.0
         self.timers: list[tuple[int, int]] = []
         self.standing: list[tuple[str, str]] = []
-        self.events: list[interface.Event] = [interface.EndpointList(
-            "full", tuple(interface.Endpoint(f"10.0.0.{n}:1", "ready", "ab"[n % 2]) for n in range(40)))]
+        self.events: list[interface.Event] = [
+            interface.EndpointList(
+                "full", tuple(interface.Endpoint(f"10.0.0.{n}:1", "ready", "ab"[n % 2]) for n in range(40))
+            )
+        ]
         self.balancer = Balancer(SETTINGS, 1)
 
     def arrive(self) -> None:
         for _ in range(self.rng.choice((0, 0, 1, 2))):
             self.requests += 1
             group = self.rng.choice((None, None, self.requests % 50))
-            self.events.append(interface.Request(
-                f"r{self.requests}", "r", self.now + 1_500_000, self.requests % 5000, group))
+            self.events.append(
+                interface.Request(f"r{self.requests}", "r", self.now + 1_500_000, self.requests % 5000, group)
+            )
         while self.timers and self.timers[0][0] <= self.now:
             self.events.append(interface.TimerFired(heapq.heappop(self.timers)[1]))
         if self.standing and self.rng.random() < 0.4:
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -2,8 +2,8 @@
 
     .venv/bin/python benchmarks/ownership.py
 
-In simulated time, on the real `Holdings` and the stand-in for Consul's state; a store of 3 ms a call. Every figure is a
-count or a ratio of the term's length, so the machine's speed plays no part.
+In simulated time, on the real `LeaseManager` and the stand-in for Consul's state; a store of 3 ms a call. Every figure
+is a count or a ratio of the term's length, so the machine's speed plays no part.
 """
 
 from __future__ import annotations
@@ -11,13 +11,13 @@
 import random
 from collections import Counter
 
-from glenrock.fleet.ownership.claim import Began, Rules
-from glenrock.fleet.ownership.holdings import Asks, Holdings
-from glenrock.fleet.ownership.store import Lease
-from glenrock.fleet.roster import Heard
+from glenrock.coordination.leases.candidate import LeaseAcquired, LeaseTiming
+from glenrock.coordination.leases.lease_manager import JobRequest, LeaseManager
+from glenrock.coordination.leases.store import Lease
+from glenrock.coordination.membership import PeerLiveness
 
 S = 1_000_000
-RULES = Rules(lease=10 * S, drift=0.01, ask_within=2 * S, again=S, wary=2 * S)
+RULES = LeaseTiming(lease_us=10 * S, drift=0.01, request_timeout_us=2 * S, retry_us=S, unreachable_backoff_us=2 * S)
 TURN, LOOK, ALL_EACH = 50_000, 2 * S, 5  # as the program has them
 WAY = 3000
 
@@ -26,10 +26,10 @@
     """Balancers that look, ask and are answered a way later. `late`: how long past its end a lease is still held."""
 
     def __init__(self, balancers: int, jobs: int, seed: int, late: float = 0.0) -> None:
-        self.draw, self.now, self.late = random.Random(seed), 0, round(late * RULES.lease)
+        self.draw, self.now, self.late = random.Random(seed), 0, round(late * RULES.lease_us)
         self.jobs = [f"job-{n}" for n in range(jobs)]
-        self.rosters = [Heard(n, range(balancers), 0) for n in range(balancers)]
-        self.members = [Holdings(r, RULES, self.jobs, LOOK) for r in self.rosters]
+        self.rosters = [PeerLiveness(n, range(balancers), 0) for n in range(balancers)]
+        self.members = [LeaseManager(r, RULES, self.jobs, LOOK) for r in self.rosters]
         self.turn_at = [self.draw.randrange(TURN) for _ in self.members]
         self.look_at = [self.draw.randrange(LOOK) for _ in self.members]
         self.looks = [0] * balancers
@@ -48,7 +48,7 @@
                 for n in range(len(self.rosters)):
                     if n not in self.asleep:
                         for other in self.rosters:
-                            other.hear(n, self.now)
+                            other.record_heard(n, self.now)
             for n, h in enumerate(self.members):
                 if self.asleep.get(n, 0) > self.now:
                     continue
@@ -56,18 +56,17 @@
                 if self.look_at[n] <= self.now:
                     self.look_at[n] = self.now + LOOK
                     self.looks[n] += 1
-                    asked = h.to_look_at(self.now, self.looks[n] % ALL_EACH == 0)
+                    asked = h.jobs_to_watch(self.now, self.looks[n] % ALL_EACH == 0)
                     self.calls["looks"] += bool(asked)
                     if self.now >= self.down_until:
-                        h.looked(asked, {j: self.lease(j) for j in asked if j in self.leases}, self.now)
+                        h.observed(asked, {j: self.lease(j) for j in asked if j in self.leases}, self.now)
                 if self.turn_at[n] <= self.now:
                     self.turn_at[n] = self.now + TURN
-                    asks, _ = h.tick(self.now)
-                    self.answer(n, h, asks)
-                    for j in h.held(self.now):
-                        h.went_round(j, self.now)
+                    self.answer(n, h, h.tick(self.now).requests)
+                    for j in h.held_jobs(self.now):
+                        h.record_work(j, self.now)
 
-    def answer(self, n: int, h: Holdings, asks: Asks) -> None:
+    def answer(self, n: int, h: LeaseManager, asks: list[JobRequest]) -> None:
         if not asks:
             return
         kinds = Counter(a.kind for _, a in asks)
@@ -75,13 +74,14 @@
         self.calls["acquires"] += (1 + min(kinds["acquire"], 5) + -(-kinds["acquire"] // 32)) if kinds["acquire"] else 0
         self.calls["releases"] += kinds["release"]
         if self.now < self.down_until:
-            h.lost(asks, self.now + RULES.ask_within)
+            h.unanswered(asks, self.now + RULES.request_timeout_us)
             return
-        more, events = h.answered(asks, {j: self.ask(n, j, a.kind, a.term) for j, a in asks}, self.now + WAY)
-        for job, e in events:
-            if isinstance(e, Began) and job in self.free_since:
-                self.gaps.append((self.now - self.free_since.pop(job)) / RULES.lease)
-        self.answer(n, h, more)
+        granted = {j: self.ask(n, j, a.kind, a.term) for j, a in asks}
+        outcome = h.answered(asks, granted, self.now + WAY)
+        for job, e in outcome.events:
+            if isinstance(e, LeaseAcquired) and job in self.free_since:
+                self.gaps.append((self.now - self.free_since.pop(job)) / RULES.lease_us)
+        self.answer(n, h, outcome.requests)
 
     def lease(self, j: str) -> Lease:
         holder, term, until = self.leases[j]
@@ -90,15 +90,15 @@
     def ask(self, n: int, j: str, kind: str, term: int) -> int:
         holder, at, until = self.leases.get(j, (-1, 0, 0))
         if kind == "acquire" and until <= self.now:
-            self.leases[j] = n, at + 1, self.now + RULES.lease + self.late
+            self.leases[j] = n, at + 1, self.now + RULES.lease_us + self.late
             return at + 1
         if (holder, at) == (n, term) and until > self.now and kind != "acquire":
-            self.leases[j] = n, at, self.now + RULES.lease + self.late if kind == "renew" else 0
+            self.leases[j] = n, at, self.now + RULES.lease_us + self.late if kind == "renew" else 0
             return at if kind == "renew" else 0
         return 0
 
     def strike(self, n: int, for_s: float) -> None:
-        for job in self.members[n].held(self.now):
+        for job in self.members[n].held_jobs(self.now):
             self.free_since[job] = self.now
         self.asleep[n] = self.now + round(for_s * S)
 
@@ -117,11 +117,18 @@
             f.run(20)
             c = {k: v / 20 for k, v in f.calls.items()}
             others = c.get("acquires", 0) + c.get("releases", 0)
-            print(f"{balancers:4} balancers, {jobs:4} jobs: {c.get('looks', 0):6.1f} {c.get('renewals', 0):6.1f} "
-                  f"{others:5.1f}; {sum(c.values()):6.1f}", flush=True)
+            print(
+                f"{balancers:4} balancers, {jobs:4} jobs: {c.get('looks', 0):6.1f} {c.get('renewals', 0):6.1f} "
+                f"{others:5.1f}; {sum(c.values()):6.1f}",
+                flush=True,
+            )
     print("time without an owner, in terms, from the strike on: p50, p99 (20 balancers, 40 jobs)")
-    for what, for_s, late in (("kill", 1e6, 0.0), ("kill, TTL honoured at 1.5 of it", 1e6, 0.5),
-                              ("pause of 1.2 terms", 12, 0.0), ("store away for 0.5 terms, and a kill", 1e6, 0.0)):
+    for what, for_s, late in (
+        ("kill", 1e6, 0.0),
+        ("kill, TTL honoured at 1.5 of it", 1e6, 0.5),
+        ("pause of 1.2 terms", 12, 0.0),
+        ("store away for 0.5 terms, and a kill", 1e6, 0.0),
+    ):
         gaps: list[float] = []
         for seed in range(6):
             f = Fleet(20, 40, seed, late)
@@ -131,7 +138,7 @@
             for n in struck:
                 f.strike(n, for_s)
             if what.startswith("store"):
-                f.down_until = f.now + RULES.lease // 2
+                f.down_until = f.now + RULES.lease_us // 2
             f.run(40)
             gaps += f.gaps
         print(f"{what}: {part(gaps, 0.5):.2f} {part(gaps, 0.99):.2f} ({len(gaps)} jobs)")
@@ -141,10 +148,9 @@
         f.run(40)
         f.gaps.clear()
         for n in f.draw.sample(range(20), 4):
-            for job in f.members[n].held(f.now):
+            for job in f.members[n].held_jobs(f.now):
                 f.free_since[job] = f.now
-            asks, _ = f.members[n].leave_all(f.now)
-            f.answer(n, f.members[n], asks)
+            f.answer(n, f.members[n], f.members[n].step_down_from_all(f.now).requests)
             f.asleep[n] = 1 << 60
             f.look_at = [f.now + WAY] * 20  # told that they are free
         f.run(40)
--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -31,7 +31,7 @@
 from .net.peers import Peers
 
 if TYPE_CHECKING:
-    from .fleet.agent import Fleet
+    from .coordination.agent import CoordinationAgent
 
 FIRST_LIST_MS = 300.0  # the whole list is awaited this long before clients are; then the known one must do
 
@@ -66,17 +66,17 @@
             program.run(self.agreement.watch())
 
 
-def together(program: Program) -> Fleet:
-    """The fleet's work, from the operator's file. Imported only where that is named."""
+def coordination_of(program: Program) -> CoordinationAgent:
+    """What balancers do together, from the operator's file. Imported only where that is named."""
     try:
-        from .fleet.agent import Fleet
+        from .coordination.agent import CoordinationAgent
 
-        fleet = Fleet(program, program.config.fleet)
+        agent = CoordinationAgent(program, program.config.fleet)
     except ModuleNotFoundError as bad:
         raise ConfigError(f"fleet: {bad.name} is not installed: pip install 'glenrock[fleet]'") from None
     if program.operators:
-        program.operators.operations.fleet = fleet
-    return fleet
+        program.operators.operations.coordination = agent
+    return agent
 
 
 class Program:
@@ -103,7 +103,7 @@
             self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post,
                                config.settings.balancers, config.accept_fd is not None)
             self.decider.tell = self.peers.tell
-        self.fleet = together(self) if config.fleet else None
+        self.coordination = coordination_of(self) if config.fleet else None
         self.tasks: set[asyncio.Task] = set()
         self.inherited = self.taker = self.neighbours = None
         if config.accept_fd is not None:
@@ -131,8 +131,8 @@
             self.server.others = self.neighbours.descriptors()
         if self.operators:
             self.operators.start(self)
-        if self.fleet:
-            self.fleet.start()
+        if self.coordination:
+            self.coordination.start()
         self.table.remember(self.config.known)
         self.run(self.decider.run())
         self.run(self.table.run())
@@ -178,8 +178,8 @@
             from .upgrade.handover import Giver
 
             successor = Giver(self.config.folder, self.clock, self.taker.inode)
-        if self.fleet:
-            self.run(self.fleet.stop())
+        if self.coordination:
+            self.run(self.coordination.stop())
         await self.leaving.stop(self.inherited is not None, successor)
         if self.neighbours:
             self.neighbours.leave()
@@ -195,8 +195,8 @@
     loop.add_signal_handler(signal.SIGHUP, again)
     if early:  # the file may have changed after it was read
         again()
-    if program.fleet:
-        await program.fleet.space(stop)
+    if program.coordination:
+        await program.coordination.wait_before_start(stop)
     await program.start()
     await program.until(stop)
 
--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from ..net.command_server import CommandServer
 from ..net.decider import Decider
@@ -11,8 +11,47 @@
 from ..upgrade.agreement import Agreement
 from .figures import Figures
 
-if TYPE_CHECKING:
-    from ..fleet.agent import Fleet
+
+class ServerOverrides(Protocol):
+    """Servers out of rotation at all balancers."""
+
+    async def set_override(self, server: str, out: bool) -> str:
+        """Out, or back. Returns why not; empty where it is done."""
+        ...
+
+
+class DrainTickets(Protocol):
+    """How many balancers may be drained at a time."""
+
+    async def take(self) -> str:
+        """Takes a ticket. Returns why there is none; empty where it is held."""
+        ...
+
+    def proven(self) -> bool:
+        """Whether the ticket is held now."""
+        ...
+
+    def give_back(self) -> None:
+        """Gives the ticket back."""
+        ...
+
+
+class Coordination(Protocol):
+    """What balancers do together; each part is None where the operator's file says no."""
+
+    @property
+    def overrides(self) -> ServerOverrides | None:
+        """Servers out of rotation at all balancers."""
+        ...
+
+    @property
+    def drain_limiter(self) -> DrainTickets | None:
+        """How many may be drained at a time."""
+        ...
+
+    def view(self) -> str:
+        """All of it, as JSON."""
+        ...
 
 
 class Operations:
@@ -21,7 +60,7 @@
         self.decider, self.instances, self.server = decider, instances, server
         self.leaving, self.agreement = leaving, agreement
         self.serves = False  # clients are taken
-        self.fleet: Fleet | None = None  # what balancers do together, where the operator's file says so
+        self.coordination: Coordination | None = None  # where the operator's file says so
 
     def ready(self) -> str:
         return self.leaving.why() if self.serves else "not ready: clients are not taken yet"
@@ -41,21 +80,22 @@
         return await self.by_hand(name, False)
 
     async def by_hand(self, name: str, out: bool) -> str:
-        if self.fleet and self.fleet.bans:
-            return await self.fleet.bans.by_hand(name, out)
+        if self.coordination and self.coordination.overrides:
+            return await self.coordination.overrides.set_override(name, out)
         return await self.agreement.call(name, out)
 
     async def drain(self) -> str:
-        turnstile = self.fleet.turnstile if self.fleet else None
-        if turnstile and (why := await turnstile.take()):
+        tickets = self.coordination.drain_limiter if self.coordination else None
+        if tickets and (why := await tickets.take()):
             return why
-        return self.leaving.by_hand(turnstile.proven if turnstile else None)
+        return self.leaving.by_hand(tickets.proven if tickets else None)
 
     async def activate(self) -> str:
         why = self.leaving.back()
-        if self.fleet and self.fleet.turnstile and not why:
-            self.fleet.turnstile.give_back()
+        tickets = self.coordination.drain_limiter if self.coordination else None
+        if tickets and not why:
+            tickets.give_back()
         return why
 
     def together(self) -> str:
-        return self.fleet.view() if self.fleet else ""
+        return self.coordination.view() if self.coordination else ""
--- a/glenrock/cli/check.py
+++ b/glenrock/cli/check.py
@@ -21,7 +21,7 @@
     Exit codes: 0 sound, 2 not; then one line names the file, the line and the key.
     """
     if file.suffix == ".toml" and "jobs" in toml_file.read(file)[0]:
-        from ..fleet import config as together
+        from ..coordination import config as together
 
         found = together.load(file)
         click.echo(f"{file}: sound (a fleet's work, on {found.store.kind})")
--- a/glenrock/cli/fleet_ask.py
+++ b/glenrock/cli/fleet_ask.py
@@ -16,7 +16,7 @@
 from .main import Failed
 
 if TYPE_CHECKING:
-    from ..fleet.ownership.store import Store
+    from ..coordination.leases.store import LeaseStore
 
 T = TypeVar("T")
 PATIENCE_S = 5.0
@@ -25,11 +25,11 @@
                     help="The operator's file; LB_FLEET where it is not given.")
 
 
-def asked(path: Path, work: Callable[[Store], Awaitable[T]]) -> T:
+def asked(path: Path, work: Callable[[LeaseStore], Awaitable[T]]) -> T:
     """That asked of the store which the operator's file names."""
-    from ..fleet import config
-    from ..fleet.agent import store_of
-    from ..fleet.ownership.store import StoreDown
+    from ..coordination import config
+    from ..coordination.agent import store_of
+    from ..coordination.leases.store import StoreUnavailableError
 
     told = config.load(path)
     if told.store.kind == "sqlite" and not Path(told.store.path).exists():
@@ -44,7 +44,7 @@
 
     try:
         return asyncio.run(ask())
-    except (StoreDown, TimeoutError, OSError) as bad:
+    except (StoreUnavailableError, TimeoutError, OSError) as bad:
         raise Failed(f"the store does not answer: {bad or 'no answer in time'}") from None
 
 
--- a/glenrock/cli/fleet_history.py
+++ b/glenrock/cli/fleet_history.py
@@ -22,7 +22,7 @@
     Exit codes: 0 done, 1 the store or a balancer does not answer, 2 bad input.
     """
     for name in [job] if job else sorted(ask.asked(file, lambda store: store.leases())):
-        for past in ask.asked(file, lambda store, name=name: store.past(name)):
+        for past in ask.asked(file, lambda store, name=name: store.past_terms(name)):
             click.echo(f"{ask.when(past.at_s)}  {name}  term {past.term}  {past.holder}")
     for address in at:
         seen = ask.view(address)
--- a/glenrock/cli/fleet_owner.py
+++ b/glenrock/cli/fleet_owner.py
@@ -22,7 +22,7 @@
     Exit codes: 0 somebody does, 1 nobody does or the store does not answer, 2 bad input.
     """
     lease = ask.asked(file, lambda store: store.leases([job])).get(job)
-    past = ask.asked(file, lambda store: store.past(job))
+    past = ask.asked(file, lambda store: store.past_terms(job))
     if lease is None or not past:
         raise Failed(f"{job} was never held; `glenrock fleet jobs` names all that were")
     if not lease.holder:
--- a/glenrock/cli/fleet_start.py
+++ b/glenrock/cli/fleet_start.py
@@ -20,7 +20,7 @@
       glenrock fleet start-report --at 127.0.0.1:9090 --at 127.0.0.1:9091
     Exit codes: 0 done, 1 a balancer does not answer or is of another version, 2 bad input.
     """
-    from ..fleet.coldstart.report import report
+    from ..coordination.warm_start.start_report import report
 
     views = {address: ask.view(address) for address in dict.fromkeys(at)}
     for address, view in views.items():
--- /dev/null
+++ b/glenrock/coordination/override_records.py
@@ -0,0 +1,20 @@
+"""The job of operators' overrides, and its records in the store."""
+
+from __future__ import annotations
+
+from .leases.store import LeaseStore
+from .override_applier import OverrideApplier
+from .shared_work.override_log import entry_of
+from .shared_work.revision import Revision
+
+OVERRIDES_JOB = "bans"  # a word of the store and of datagrams, shared with earlier versions
+
+
+async def read_records(store: LeaseStore, applier: OverrideApplier) -> None:
+    """Takes in all that the store has. Raises StoreUnavailableError."""
+    for key, record in (await store.records(OVERRIDES_JOB)).items():
+        if key[:1] == "\n":
+            applier.record_numbered(key[1:], int(record.value) if record.value.isdecimal() else 0)
+        elif entry := entry_of(record.value, Revision(record.term, record.number)):
+            applier.take(key, entry)
+    applier.unsettled.set()
--- /dev/null
+++ b/glenrock/coordination/warm_start/milestones.py
@@ -0,0 +1,99 @@
+"""What this balancer's own start came to: when it was ready, heard the list and served, and what its calls came to."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ...net.pace import Pace
+from ..host import BalancerHost
+
+CHECK_INTERVAL_MS = 20.0
+FIRST_SERVICE_MS = 5000.0  # what is done in this time of service belongs to the start
+WATCH_LIMIT_MS = 600_000.0  # a start that is not over by then is looked at no more
+COUNTED_OUTCOMES = {"up": "fulfilled", "refused": "throttled", "failed": "faulted"}
+
+
+class CountingPollBackoff:
+    """A poll backoff that counts what calls for the list came to, and is otherwise the one it was given."""
+
+    def __init__(self, backoff: Pace) -> None:
+        self.answered = self.refused = self.failed = 0
+        self._backoff = backoff
+
+    def __getattr__(self, name: str) -> Any:
+        """All else is the other's."""
+        return getattr(self._backoff, name)
+
+    def heard(self) -> None:
+        """A call was answered."""
+        self.answered += 1
+        self._backoff.heard()
+
+    def overbooked(self) -> float:
+        """A call was refused. Returns the pause before the next one."""
+        self.refused += 1
+        return self._backoff.overbooked()
+
+    def retry(self, failures: int) -> float:
+        """A call failed. Returns the pause before the next one."""
+        self.failed += 1
+        return self._backoff.retry(failures)
+
+
+class StartMilestones:
+    """Times are Unix milliseconds of the balancer's own clock, 0 while something has not come."""
+
+    def __init__(self, host: BalancerHost) -> None:
+        self._host = host
+        self._clock = host.clock
+        self._begun_ms = self._clock.now()
+        self._waited_ms = self._ready_ms = self._heard_ms = self._served_ms = 0.0
+        self._list_source = "none"
+        self._first_service: dict[str, int] = {}
+        self._calls: CountingPollBackoff | None = None
+
+    def start(self, list_source: str) -> None:
+        """Before the first call. `list_source`: what the start goes by: kept, given or none."""
+        self._list_source = list_source
+        self._waited_ms = self._clock.now() - self._begun_ms
+        self._calls = CountingPollBackoff(self._host.table.pace)
+        self._host.table.pace = self._calls  # type: ignore[assignment] # it is one in all that is called
+
+    def _done(self) -> dict[str, int]:
+        """Since the process began."""
+        counts = self._host.server.counts
+        outcomes = {name: sum(counts.outcomes[key].values()) for name, key in COUNTED_OUTCOMES.items()}
+        return {"attempts": counts.relayed, **outcomes}
+
+    async def watch(self) -> None:
+        """Until the start is over. Looked at, not told: nothing that serves knows of it."""
+        while self._clock.now() < self._begun_ms + WATCH_LIMIT_MS:
+            now_ms = self._clock.now()
+            if not self._ready_ms and self._host.entrance.listener is not None:
+                self._ready_ms = now_ms
+            if not self._heard_ms and self._host.table.first.is_set():
+                self._heard_ms = now_ms
+            if not self._served_ms and self._done()["up"] > 0:
+                self._served_ms = now_ms
+            if self._ready_ms and not self._first_service and now_ms >= self._ready_ms + FIRST_SERVICE_MS:
+                self._first_service = self._done()
+            if self._first_service and self._heard_ms and self._served_ms:
+                return
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+
+    def view(self) -> dict[str, Any]:
+        """For operators; its keys are theirs."""
+        calls = self._calls
+        counted = {}
+        if calls:
+            counted = {"answered": calls.answered, "refused": calls.refused, "failed": calls.failed}
+        return {
+            "begun_ms": round(self._begun_ms),
+            "waited_ms": round(self._waited_ms),
+            "ready_ms": round(self._ready_ms),
+            "heard_ms": round(self._heard_ms),
+            "served_ms": round(self._served_ms),
+            "list": self._list_source,
+            "calls": counted,
+            "first": dict(self._first_service) or self._done(),
+        }
--- a/glenrock/stage/together.py
+++ b/glenrock/stage/together.py
@@ -14,8 +14,8 @@
 
 import aiohttp
 
-from ..fleet import wire
-from ..fleet.ownership.consul_store import named, value_of
+from ..coordination import datagrams
+from ..coordination.leases.consul_store import lock_value, unescape_key
 from .consul import Consul
 
 if TYPE_CHECKING:
@@ -92,8 +92,8 @@
             found = {}
             for key, e in self.consul.state.entries.items():
                 if "/jobs/" in key and e.value:
-                    value = value_of(e.told(key))
-                    found[named(key.rpartition("/")[2])] = value["term"], value["holder"]
+                    value = lock_value(e.told(key))
+                    found[unescape_key(key.rpartition("/")[2])] = value.term, value.holder
             return found
         with contextlib.suppress(sqlite3.Error), contextlib.closing(
                 sqlite3.connect(f"file:{self.path}?mode=ro", uri=True, timeout=0)) as db:
@@ -109,12 +109,12 @@
 
     def crossed(self, sender: int, receiver: int, data: bytes) -> None:
         """A datagram that a balancer has sent, whatever becomes of it."""
-        m = wire.decode(data) if data[:1] >= b"\xf1" else None
-        if isinstance(m, wire.Taken) and m.number:
-            self.stage.history.note(f"balancer:{sender}", "effect", job=m.job, term=m.term, number=m.number, ok=m.ok,
-                                    seen=m.seen, order=m.order)
-        elif isinstance(m, wire.Taken):
-            self.stage.history.note(f"balancer:{sender}", "mark refused", job=m.job, term=m.term, seen=m.seen)
+        m = datagrams.decode(data) if data[:1] >= b"\xf1" else None
+        if isinstance(m, datagrams.Acknowledgement) and m.number:
+            self.stage.history.note(f"balancer:{sender}", "effect", job=m.job, term=m.term, number=m.number,
+                                    ok=m.accepted, seen=m.seen_term, order=m.order)
+        elif isinstance(m, datagrams.Acknowledgement):
+            self.stage.history.note(f"balancer:{sender}", "mark refused", job=m.job, term=m.term, seen=m.seen_term)
 
     # -- operators -------------------------------------------------------------------------------------
 
--- a/tests/fleet/test_cli_fleet.py
+++ b/tests/coordination/test_cli_fleet.py
@@ -11,7 +11,7 @@
 import pytest
 
 from glenrock.cli.main import run
-from glenrock.fleet.ownership.sqlite_store import SqliteStore
+from glenrock.coordination.leases.sqlite_store import SqliteStore
 
 
 @pytest.fixture
@@ -46,8 +46,21 @@
     path, told = tmp_path / "fleet.toml", tmp_path / "c.json"
     if text:
         path.write_text(text)
-    told.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "fleet": str(path), "settings": {
-        "classes": [{"name": "a", "targetUs": 1, "deadlineUs": 2}]}}))
-    done = subprocess.run([sys.executable, "-m", "glenrock"], capture_output=True, text=True, timeout=60,
-                          env={**os.environ, "LB_CONFIG": str(told)})
+    told.write_text(
+        json.dumps(
+            {
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:9",
+                "fleet": str(path),
+                "settings": {"classes": [{"name": "a", "targetUs": 1, "deadlineUs": 2}]},
+            }
+        )
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "glenrock"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "LB_CONFIG": str(told)},
+    )
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and "fleet: " in done.stderr and said in done.stderr
--- a/tests/fleet/test_ownership.py
+++ b/tests/coordination/test_ownership.py
@@ -15,91 +15,92 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenrock.fleet.ownership.claim import Ask, Began, Claim, Ended, Rules
-from glenrock.fleet.ownership.explore import Explorer
-from glenrock.fleet.ownership.fence import Fence
-from glenrock.fleet.ownership.sqlite_store import SqliteStore
-from glenrock.fleet.ownership.store import Record, StoreDown
+from glenrock.coordination.leases.candidate import LeaseAcquired, LeaseCandidate, LeaseLost, LeaseRequest, LeaseTiming
+from glenrock.coordination.leases.fence import Fence
+from glenrock.coordination.leases.model_checker import ModelChecker
+from glenrock.coordination.leases.sqlite_store import SqliteStore
+from glenrock.coordination.leases.store import Record, StoreUnavailableError
 
-R = Rules(lease=1000, drift=0.1, ask_within=300, again=50, wary=200)
-OWN = R.own
+R = LeaseTiming(lease_us=1000, drift=0.1, request_timeout_us=300, retry_us=50, unreachable_backoff_us=200)
+OWN = R.holder_lease_us
 
 
-def owner(at: int = 0, term: int = 7) -> Claim:
-    c = Claim(R)
+def owner(at: int = 0, term: int = 7) -> LeaseCandidate:
+    c = LeaseCandidate(R)
     (ask,) = c.tick(at)
-    assert c.answer(at + 10, ask.request, term) == [Began(term, at + OWN)]
+    assert c.answer(at + 10, ask.number, term) == [LeaseAcquired(term, at + OWN)]
     return c
 
 
 @pytest.mark.parametrize("now, holds", [(OWN - 1, 7), (OWN, None), (OWN + 1, None), (99 * OWN, None)])
 def test_a_term_ends_by_its_owners_own_clock_counted_from_before_it_asked(now, holds) -> None:
     c = owner()
-    assert c.holds(now) == holds  # whoever slept until then has not looked at its clock yet
-    ended = [e for e in c.tick(now) if isinstance(e, Ended)]
-    assert bool(ended) == (holds is None) and c.holds(now) == holds
+    assert c.current_term(now) == holds  # whoever slept until then has not looked at its clock yet
+    ended = [e for e in c.tick(now) if isinstance(e, LeaseLost)]
+    assert bool(ended) == (holds is None) and c.current_term(now) == holds
 
 
 def test_an_answer_that_was_slept_over_begins_no_term_and_is_given_back() -> None:
-    c = Claim(R)
+    c = LeaseCandidate(R)
     (ask,) = c.tick(0)
-    assert c.answer(OWN, ask.request, 7) == [Ask(2, "release", 7, 0)]
-    assert c.holds(OWN) is None
+    assert c.answer(OWN, ask.number, 7) == [LeaseRequest(2, "release", 7, 0)]
+    assert c.current_term(OWN) is None
 
 
 def test_a_renewal_counts_from_when_it_was_asked_and_one_that_is_lost_takes_nothing_away() -> None:
     c = owner()
-    at = int(OWN * R.renew_part)
+    at = int(OWN * R.renew_after_share)
     (ask,) = c.tick(at)
-    assert ask.kind == "renew" and c.lost(at + 300, ask.request) == []
-    assert c.holds(OWN - 1) == 7, "the term goes on as long as it is proven"
+    assert ask.kind == "renew" and c.unanswered(at + 300, ask.number) == []
+    assert c.current_term(OWN - 1) == 7, "the term goes on as long as it is proven"
     (again,) = c.tick(at + 400)
-    assert c.answer(at + 450, ask.request, 7) == [] and c.until == OWN, "an answer to an older request is nobody's"
-    c.answer(at + 460, again.request, 7)
-    assert c.holds(at + 400 + OWN - 1) == 7 and c.holds(at + 400 + OWN) is None
+    assert c.answer(at + 450, ask.number, 7) == [] and c.expires_us == OWN, "an answer to an older request is nobody's"
+    c.answer(at + 460, again.number, 7)
+    assert c.current_term(at + 400 + OWN - 1) == 7 and c.current_term(at + 400 + OWN) is None
 
 
 @pytest.mark.parametrize("what", ["renewal refused", "a receiver has seen more", "steps down"])
 def test_an_owner_that_is_told_so_is_none_at_once(what) -> None:
     c = owner()
     if what == "renewal refused":
-        (ask,) = c.tick(int(OWN * R.renew_part))
-        c.answer(500, ask.request, 0)
+        (ask,) = c.tick(int(OWN * R.renew_after_share))
+        c.answer(500, ask.number, 0)
     elif what == "steps down":
-        assert c.leave(500)[1].kind == "release"
+        assert c.step_down(500)[1].kind == "release"
     else:
         c.refused(500, 9)
         (ask,) = c.tick(600)
-        assert ask.floor == 9 and c.answer(610, ask.request, 9) == [Ask(ask.request + 1, "release", 9, 9)]
-    assert c.holds(501) is None
+        assert ask.min_term == 9 and c.answer(610, ask.number, 9) == [LeaseRequest(ask.number + 1, "release", 9, 9)]
+    assert c.current_term(501) is None
 
 
-steps = st.lists(st.tuples(st.sampled_from(["tick", "grant", "refuse", "lose", "seen", "leave"]), st.integers(0, 700)),
-                 max_size=40)
+steps = st.lists(
+    st.tuples(st.sampled_from(["tick", "grant", "refuse", "lose", "seen", "leave"]), st.integers(0, 700)), max_size=40
+)
 
 
 @given(steps)
 def test_whatever_comes_an_owner_holds_only_within_its_lease_and_one_request_is_out(what) -> None:
-    c, now, term, asked, granted_until = Claim(R), 0, 0, [], 0
+    c, now, term, asked, granted_until = LeaseCandidate(R), 0, 0, [], 0
     for kind, gap in what:
         now += gap
         out: list[object] = []
         if kind == "tick":
             out = c.tick(now)
         elif kind == "lose":
-            out = c.lost(now, c.request)
+            out = c.unanswered(now, c.last_request)
         elif kind == "leave":
-            out = c.leave(now)
+            out = c.step_down(now)
         elif kind == "seen":
             out = c.refused(now, term + gap % 2)
         if kind in ("grant", "refuse") and asked:
             sent_at, ask = asked.pop()
             term += ask.kind == "acquire"
             granted_until = max(granted_until, sent_at + OWN) if kind == "grant" else granted_until
-            out = c.answer(now, ask.request, term if kind == "grant" else 0)
-        asked += [(now, e) for e in out if isinstance(e, Ask)]
-        assert sum(isinstance(e, Ask) for e in out) <= 1
-        if c.holds(now):
+            out = c.answer(now, ask.number, term if kind == "grant" else 0)
+        asked += [(now, e) for e in out if isinstance(e, LeaseRequest)]
+        assert sum(isinstance(e, LeaseRequest) for e in out) <= 1
+        if c.current_term(now):
             assert now < granted_until
 
 
@@ -109,20 +110,37 @@
     for term, number, restarts in effects:
         if restarts:
             kept, f = f.seen, Fence()
-            assert not f.take("job", 9, 9).ok, "nothing is taken before it has read back what it knew"
-            f.learned(kept)
-        if f.take("job", term, number).ok:
+            assert not f.take("job", 9, 9).accepted, "nothing is taken before it has read back what it knew"
+            f.restore(kept)
+        if f.take("job", term, number).accepted:
             taken.append((term, number))
     assert taken == sorted(set(taken))
 
 
-@pytest.mark.parametrize("fault, found", [
-    ("", ""), ("store_forgets", ""), ("no_check", "late"), ("from_answer", "late"), ("forgets", "order"),
-    ("voids", "late"), ("any_order", "late")])
+@pytest.mark.parametrize(
+    "fault, found",
+    [
+        ("", ""),
+        ("store_forgets", ""),
+        ("no_check", "late"),
+        ("from_answer", "late"),
+        ("forgets", "order"),
+        ("voids", "late"),
+        ("any_order", "late"),
+    ],
+)
 def test_all_that_can_happen_keeps_the_order_and_each_planted_fault_is_found(fault, found) -> None:
     whole = fault not in ("forgets", "any_order")  # these lie deep: without slips and losses CI has the time
-    e = Explorer(wire=2, restarts=1, terms=2, receivers=1, slips=whole, losses=whole,
-                 faults=frozenset([fault] if fault else []), most=60_000 if whole else 300_000)
+    e = ModelChecker(
+        wire=2,
+        restarts=1,
+        terms=2,
+        receivers=1,
+        slips=whole,
+        losses=whole,
+        faults=frozenset([fault] if fault else []),
+        most=60_000 if whole else 300_000,
+    )
     result = e.run()
     if not found:
         assert not result.wrong, (result.wrong, result.way)
@@ -150,7 +168,7 @@
     assert s.renew("job", "a", 2, 1, 1000) == 1 and s.acquire("job", "b", 2, 1000) == 0
     clock.now += 1000
     assert s.renew("job", "a", 3, 1, 1000) == 0 and not s.put("job", "a", 1, 2, {"k": "late"})
-    assert s.acquire("job", "b", 3, 1000, floor=5) == 6
+    assert s.acquire("job", "b", 3, 1000, min_term=5) == 6
     s.release("job", "a", 4, 1)
     assert s.lease("job").holder == "b" and s.records("job") == {"k": Record("old", 1, 1)}
     s.release("job", "b", 4, 6)
@@ -178,12 +196,12 @@
 
 
 def test_a_store_that_cannot_be_asked_says_so(tmp_path) -> None:
-    with pytest.raises(StoreDown, match="no/such"):
+    with pytest.raises(StoreUnavailableError, match="no/such"):
         SqliteStore(tmp_path / "no/such/folder")
     s = SqliteStore(tmp_path / "s")
     held = sqlite3.connect(tmp_path / "s", isolation_level=None)
     held.execute("BEGIN IMMEDIATE")
-    with pytest.raises(StoreDown):
+    with pytest.raises(StoreUnavailableError):
         s.acquire("job", "a", 1, 1000)
     held.execute("ROLLBACK")
     assert s.acquire("job", "a", 1, 1000) == 1
@@ -192,24 +210,25 @@
 WORKER = """
 import sys, time
 from pathlib import Path
-from glenrock.fleet.ownership.claim import Ask, Claim, Rules
-from glenrock.fleet.ownership.sqlite_store import SqliteStore, StoreDown, boottime_us
+from glenrock.coordination.leases.candidate import LeaseCandidate, LeaseRequest, LeaseTiming
+from glenrock.coordination.leases.sqlite_store import SqliteStore, StoreUnavailableError, boottime_us
 name, path, until = f"{sys.argv[1]}/{boottime_us()}", Path(sys.argv[2]), float(sys.argv[4])
 out = open(sys.argv[3], "a", buffering=1)
-rules = Rules(lease=200_000, drift=0.05, ask_within=100_000, again=20_000, wary=40_000)
-store, claim, number = SqliteStore(path), Claim(rules), 0
+rules = LeaseTiming(lease_us=200_000, drift=0.05, request_timeout_us=100_000, retry_us=20_000,
+                    unreachable_backoff_us=40_000)
+store, claim, number = SqliteStore(path), LeaseCandidate(rules), 0
 while time.monotonic() < until:
     for e in claim.tick(boottime_us()):
-        if isinstance(e, Ask):
+        if isinstance(e, LeaseRequest):
             try:
-                granted = (store.acquire("job", name, e.request, rules.lease, e.floor) if e.kind == "acquire" else
-                           store.renew("job", name, e.request, e.term, rules.lease) if e.kind == "renew" else
-                           store.release("job", name, e.request, e.term) or 0)
-            except StoreDown:
-                claim.lost(boottime_us(), e.request)
+                granted = (store.acquire("job", name, e.number, rules.lease_us, e.min_term) if e.kind == "acquire" else
+                           store.renew("job", name, e.number, e.term, rules.lease_us) if e.kind == "renew" else
+                           store.release("job", name, e.number, e.term) or 0)
+            except StoreUnavailableError:
+                claim.unanswered(boottime_us(), e.number)
                 continue
-            claim.answer(boottime_us(), e.request, granted)
-    if (term := claim.holds(boottime_us())) is not None:
+            claim.answer(boottime_us(), e.number, granted)
+    if (term := claim.current_term(boottime_us())) is not None:
         number += 1
         time.sleep(0.02)  # between check and write lies time in which a process may be stopped
         ok = store.put("job", name, term, number, {f"{name} {number} {until}": name})
@@ -225,8 +244,9 @@
     SqliteStore(db).close()
 
     def start(name: str) -> subprocess.Popen[bytes]:
-        return subprocess.Popen([sys.executable, "-c", WORKER, name, str(db), str(log), str(until)],
-                                cwd=Path(__file__).resolve().parents[2])
+        return subprocess.Popen(
+            [sys.executable, "-c", WORKER, name, str(db), str(log), str(until)], cwd=Path(__file__).resolve().parents[2]
+        )
 
     workers = {f"w{n}": start(f"w{n}") for n in range(4)}
     strikes = 0
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -11,15 +11,15 @@
 
 import pytest
 
-from glenrock.fleet import kept, wire
-from glenrock.fleet.coldstart import record as start_record
-from glenrock.fleet.coldstart.starts import Spacing, Starts
-from glenrock.fleet.jobs.board import Board, Word
-from glenrock.fleet.ownership.claim import Ask
-from glenrock.fleet.ownership.consul_store import ConsulStore
-from glenrock.fleet.ownership.fence import Fence
-from glenrock.fleet.ownership.sqlite_store import SqliteStore
-from glenrock.fleet.ownership.store import Record
+from glenrock.coordination import datagrams, durable_state
+from glenrock.coordination.leases.candidate import LeaseRequest
+from glenrock.coordination.leases.consul_store import ConsulStore
+from glenrock.coordination.leases.fence import Fence
+from glenrock.coordination.leases.sqlite_store import SqliteStore
+from glenrock.coordination.leases.store import Record
+from glenrock.coordination.shared_work.override_log import OverrideEntry, OverrideLog
+from glenrock.coordination.warm_start import start_record as start_record
+from glenrock.coordination.warm_start.start_backoff import BackoffPolicy, StartBackoff
 from glenrock.lab import record as lab_record
 from glenrock.lab import spec
 from glenrock.routing.gossip_codec import decode
@@ -40,13 +40,13 @@
 
 def test_terms_and_words_of_a_balancer_are_read_and_written_in_the_same_form(tmp_path) -> None:
     shutil.copy(RECORDED / "glenrock-n1.fleet.json", tmp_path)
-    file, fence, board = kept.Kept(tmp_path, "n1"), Fence(), Board()
+    file, fence, board = durable_state.DurableState(tmp_path, "n1"), Fence(), OverrideLog()
     file.boot = "boot-one"
     assert file.read(fence, board) and fence.known
     assert fence.seen == {"bans": (7, 12), "turn": (3, 0)}
-    assert board.words == {"a:1": Word(True, (7, 11)), "b:1": Word(False, (6, 2))}
-    assert board.lives == {"n1.5": 4} and file.tickets == {"turn": ("n2.9", 3)}
-    assert [(i, w.server, w.out) for i, w in board.wishes.items()] == [("n1.5#5", "c:1", True)]
+    assert board.entries == {"a:1": OverrideEntry(True, (7, 11)), "b:1": OverrideEntry(False, (6, 2))}
+    assert board.numbered_upto == {"n1.5": 4} and file.tickets == {"turn": ("n2.9", 3)}
+    assert [(i, w.server, w.out) for i, w in board.pending.items()] == [("n1.5#5", "c:1", True)]
     written = json.loads(json.dumps(file.snapshot(fence, board)))
     assert written == json.loads((RECORDED / "glenrock-n1.fleet.json").read_bytes())
 
@@ -62,7 +62,7 @@
 
 def test_times_of_the_last_starts_are_read(tmp_path) -> None:
     shutil.copy(RECORDED / "glenrock-n1.starts", tmp_path)
-    starts = Starts(tmp_path, "n1", Spacing(30000.0, 60000.0), lambda: 0.0)
+    starts = StartBackoff(tmp_path, "n1", BackoffPolicy(30000.0, 60000.0), lambda: 0.0)
     assert starts.read() == [1764659000000.0]
 
 
@@ -72,8 +72,8 @@
     lease = store.lease("bans")
     assert (lease.holder, lease.term) == ("n1.5", 7)
     assert store.records("bans") == {"a:1": Record('{"out": true}', 7, 1)}
-    assert store.wishes("bans") == {"n1.5#5": '{"server": "c:1", "out": true}'}
-    assert [(p.term, p.holder) for p in store.past("bans")] == [(7, "n1.5")]
+    assert store.proposals("bans") == {"n1.5#5": '{"server": "c:1", "out": true}'}
+    assert [(p.term, p.holder) for p in store.past_terms("bans")] == [(7, "n1.5")]
     store.close()
 
 
@@ -87,8 +87,8 @@
             await store.transaction([{"Verb": "set", **entry} for entry in entries])
             assert (await store.leases(["bans"]))["bans"].term == 7
             assert await store.records("bans") == {"a/1:é": Record('{"out": true}', 7, 1)}
-            assert await store.wishes("bans") == {"n1.5#5": '{"server": "c:1", "out": true}'}
-            assert await store.ask([("bans", Ask(1, "acquire", 0, 0))], 300_000) == {"bans": 8}
+            assert await store.proposals("bans") == {"n1.5#5": '{"server": "c:1", "out": true}'}
+            assert await store.submit([("bans", LeaseRequest(1, "acquire", 0, 0))], 300_000) == {"bans": 8}
         finally:
             await store.close()
             await consul.close()
@@ -121,12 +121,17 @@
 def test_datagrams_are_read_and_written_in_the_same_form() -> None:
     found = json.loads((RECORDED / "datagrams.json").read_bytes())
     assert decode(bytes.fromhex(found["gossip"])) == (513, 123456.0, 77, [(1, 60.0), (2, 50.0), (3, 2.0)])
-    messages = [wire.decode(bytes.fromhex(text)) for text in found["fleet"]]
+    messages = [datagrams.decode(bytes.fromhex(text)) for text in found["fleet"]]
     assert messages == [
-        wire.Mark("bans", 7, 0xABCDEF), wire.Want("bans", 7, (6, 2), True),
-        wire.Say("bans", 7, 12, (7, 11), True, "a:1"), wire.Taken("bans", True, 7, 7, 12, (7, 11), 3, "a:1"),
-        wire.Loads(bytes(range(8))), wire.Free("turn"), wire.Known("bans", (6, 2), False, "b:1")]
-    assert [wire.encode(m).hex() for m in messages] == found["fleet"]
+        datagrams.LeaderHeartbeat("bans", 7, 0xABCDEF),
+        datagrams.SyncRequest("bans", 7, (6, 2), True),
+        datagrams.OverrideUpdate("bans", 7, 12, (7, 11), True, "a:1"),
+        datagrams.Acknowledgement("bans", True, 7, 7, 12, (7, 11), 3, "a:1"),
+        datagrams.LoadShare(bytes(range(8))),
+        datagrams.JobReleased("turn"),
+        datagrams.KnownOverride("bans", (6, 2), False, "b:1"),
+    ]
+    assert [datagrams.encode(m).hex() for m in messages] == found["fleet"]
 
 
 @pytest.mark.parametrize("name", sorted(p.name for p in (RECORDED / "experiments").glob("*.toml")))
