--- a/benchmarks/relay_reads.py
+++ b/benchmarks/relay_reads.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from glenrock.net.readiness import recv_into
+from glenrock.net.socket_io import recv_into
 
 TRIPS, ROUNDS, LINE = 20_000, 5, b"x" * 100
 
--- a/glenrock/__main__.py
+++ b/glenrock/__main__.py
@@ -19,16 +19,16 @@
 
 from .config import AT_START, Config, ConfigError, read
 from .log import say
+from .net.acceptor import Acceptor
 from .net.clock import Clock
-from .net.command_server import CommandServer
-from .net.counts import Counts
-from .net.decider import Decider
-from .net.entrance import Entrance
-from .net.instance import Instances
-from .net.leaving import Leaving
-from .net.name_table import NameTable
-from .net.pace import Pace
+from .net.connection_table import ConnectionTable
+from .net.endpoint_watcher import EndpointWatcher
+from .net.graceful_shutdown import GracefulShutdown
+from .net.metrics import ConnectionMetrics
 from .net.peers import Peers
+from .net.poll_backoff import PollBackoff
+from .net.routing_actor import RoutingActor
+from .net.server_connections import ServerRegistry
 
 if TYPE_CHECKING:
     from .coordination.agent import CoordinationAgent
@@ -52,10 +52,10 @@
         from .upgrade.agreement import Agreement
 
         p = program
-        self.agreement = Agreement(p.config.folder, p.clock, p.instances, p.decider)
-        self.operations = Operations(p.decider, p.instances, p.server, p.leaving, self.agreement)
+        self.agreement = Agreement(p.config.folder, p.clock, p.servers, p.routing)
+        self.operations = Operations(p.routing, p.servers, p.connections, p.shutdown, self.agreement)
         self.listener = Listener(self.operations, p.clock)
-        p.server.kept += DESCRIPTORS
+        p.connections.reserved += DESCRIPTORS
 
     def start(self, program: Program) -> None:
         # Before the first list: what is out by hand must be known when it comes.
@@ -85,24 +85,24 @@
     def __init__(self, config: Config, clock: Clock) -> None:
         self.config, self.clock = config, clock
         self.begun = config  # what it started with
-        self.decider = Decider(config.settings, config.seed, clock)
-        counts = Counts(c.name for c in config.settings.classes)
-        self.instances = Instances(clock, config.settings.connect_timeout_us / 1000, self.decider.post, counts)
-        pace = Pace(config.settings.balancers, config.settings.must_poll_endpoints, random.Random(config.seed ^ 1),
-                    config.settings.drain_grace_us / 1000)
-        self.table = NameTable(config.discovery, clock, self.instances.update,
-                               lambda: self.decider.post(interface.EndpointList("failed")), pace)
-        self.server = CommandServer(self.decider, self.instances, clock, config.sockets,
+        self.routing = RoutingActor(config.settings, config.seed, clock)
+        counts = ConnectionMetrics(c.name for c in config.settings.classes)
+        self.servers = ServerRegistry(clock, config.settings.connect_timeout_us / 1000, self.routing.post, counts)
+        pace = PollBackoff(config.settings.balancers, config.settings.must_poll_endpoints,
+                           random.Random(config.seed ^ 1), config.settings.drain_grace_us / 1000)
+        self.endpoints = EndpointWatcher(config.discovery, clock, self.servers.update,
+                                lambda: self.routing.post(interface.EndpointList("failed")), pace)
+        self.connections = ConnectionTable(self.routing, self.servers, clock, config.sockets,
                                     config.measures_delay, counts)
-        self.entrance = Entrance(self.server, clock)
-        self.leaving = Leaving(self.server, self.entrance, clock)
+        self.acceptor = Acceptor(self.connections, clock)
+        self.shutdown = GracefulShutdown(self.connections, self.acceptor, clock)
         self.operators = Operators(self) if config.admin else None
         self.peers = None
-        self.decider.probe = self.instances.probe
+        self.routing.probe = self.servers.probe
         if config.peer_listen:
-            self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.decider.post,
+            self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.routing.post,
                                config.settings.balancers, config.accept_fd is not None)
-            self.decider.tell = self.peers.tell
+            self.routing.tell = self.peers.tell
         self.coordination = coordination_of(self) if config.fleet else None
         self.tasks: set[asyncio.Task] = set()
         self.inherited = self.taker = self.neighbours = None
@@ -114,7 +114,7 @@
                 from .upgrade.handover import Taker
                 from .upgrade.neighbours import Neighbours
 
-                self.taker = Taker(config.folder, self.server)
+                self.taker = Taker(config.folder, self.connections)
                 self.neighbours = Neighbours(config.folder, os.getpid())
 
     def run(self, work: Coroutine[None, None, None]) -> None:
@@ -127,20 +127,20 @@
                 self.neighbours.arrive()
             except OSError as bad:
                 say("upgrade", f"the other process does not know of this one: {bad}")
-            self.server.elsewhere = self.neighbours.descriptors
-            self.server.others = self.neighbours.descriptors()
+            self.connections.elsewhere = self.neighbours.descriptors
+            self.connections.others = self.neighbours.descriptors()
         if self.operators:
             self.operators.start(self)
         if self.coordination:
             self.coordination.start()
-        self.table.remember(self.config.known)
-        self.run(self.decider.run())
-        self.run(self.table.run())
+        self.endpoints.remember(self.config.known)
+        self.run(self.routing.run())
+        self.run(self.endpoints.run())
         # Nothing is accepted, and so no PING answered, before there is a list to serve with.
         async with self.clock.limit(FIRST_LIST_MS):
-            await self.table.first.wait()
-        self.entrance.open(self.inherited or self.entrance.listen(self.config.listen))
-        self.run(self.server.sweep())
+            await self.endpoints.first.wait()
+        self.acceptor.open(self.inherited or self.acceptor.listen(self.config.listen))
+        self.run(self.connections.sweep())
         if self.taker:
             self.taker.listen()
         if self.operators:
@@ -157,11 +157,11 @@
         waits = [key for key in AT_START if getattr(new, key) != getattr(self.config, key)]
         if waits:
             say("config", f"{', '.join(waits)}: changed, but taken over only at the next start")
-        self.table.move(new.discovery)
+        self.endpoints.move(new.discovery)
         if self.peers:
             self.peers.move(new.peers, new.peers_all)
         raise_limit(new.sockets)
-        self.server.sockets = new.sockets
+        self.connections.sockets = new.sockets
         self.config = replace(self.config, discovery=new.discovery, peers=new.peers, peers_all=new.peers_all,
                               sockets=new.sockets)
         say("config", f"read again: discovery is at {new.discovery[0]}:{new.discovery[1]}")
@@ -172,18 +172,18 @@
         for task in self.tasks:
             if task.done():
                 raise RuntimeError("an actor ended") from task.exception()
-        say("stopping", f"{len(self.server.commands)} clients to hand back")
+        say("stopping", f"{len(self.connections.by_id)} clients to hand back")
         successor = None
         if self.taker:
             from .upgrade.handover import Giver
 
-            successor = Giver(self.config.folder, self.clock, self.taker.inode)
+            successor = Giver(self.config.folder, self.clock, self.taker.inode, self.routing.load_of)
         if self.coordination:
             self.run(self.coordination.stop())
-        await self.leaving.stop(self.inherited is not None, successor)
+        await self.shutdown.stop(self.inherited is not None, successor)
         if self.neighbours:
             self.neighbours.leave()
-        say("stopped", f"{len(self.server.commands)} clients left")
+        say("stopped", f"{len(self.connections.by_id)} clients left")
 
 
 async def serve(config: Config, clock: Clock, early: list[int]) -> None:
--- a/glenrock/admin/listener.py
+++ b/glenrock/admin/listener.py
@@ -9,7 +9,7 @@
 from ..config import Address
 from ..log import say
 from ..net.clock import Clock
-from ..net.instance import tune
+from ..net.socket_io import configure_socket
 from . import routes
 from .call import Answer, Call
 
@@ -69,7 +69,7 @@
     async def caller(self, sock: socket.socket) -> None:
         loop, buffer, call, answer = asyncio.get_running_loop(), bytearray(4096), Call(), None
         try:
-            tune(sock)
+            configure_socket(sock)
             async with self.clock.limit(CALL_MS) as limit:
                 while not call.whole and answer is None:
                     count = await loop.sock_recv_into(sock, buffer)
--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -4,10 +4,10 @@
 
 from typing import Protocol
 
-from ..net.command_server import CommandServer
-from ..net.decider import Decider
-from ..net.instance import Instances
-from ..net.leaving import Leaving
+from ..net.connection_table import ConnectionTable
+from ..net.graceful_shutdown import GracefulShutdown
+from ..net.routing_actor import RoutingActor
+from ..net.server_connections import ServerRegistry
 from ..upgrade.agreement import Agreement
 from .figures import Figures
 
@@ -55,19 +55,19 @@
 
 
 class Operations:
-    def __init__(self, decider: Decider, instances: Instances, server: CommandServer, leaving: Leaving,
-                 agreement: Agreement) -> None:
-        self.decider, self.instances, self.server = decider, instances, server
-        self.leaving, self.agreement = leaving, agreement
+    def __init__(self, routing: RoutingActor, servers: ServerRegistry, connections: ConnectionTable,
+                 shutdown: GracefulShutdown, agreement: Agreement) -> None:
+        self.routing, self.servers, self.connections = routing, servers, connections
+        self.shutdown, self.agreement = shutdown, agreement
         self.serves = False  # clients are taken
         self.coordination: Coordination | None = None  # where the operator's file says so
 
     def ready(self) -> str:
-        return self.leaving.why() if self.serves else "not ready: clients are not taken yet"
+        return self.shutdown.why() if self.serves else "not ready: clients are not taken yet"
 
     def figures(self) -> Figures:
-        counts, balancer, names = self.server.counts, self.decider.balancer, self.instances.listed()
-        return Figures(counts.outcomes, counts.relayed, self.server.open(), len(names),
+        counts, balancer, names = self.connections.metrics, self.routing.balancer, self.servers.listed()
+        return Figures(counts.outcomes, counts.relayed, self.connections.count_open(), len(names),
                        balancer.count_avoided(names))
 
     def listed(self, name: str) -> bool:
@@ -88,10 +88,10 @@
         tickets = self.coordination.drain_limiter if self.coordination else None
         if tickets and (why := await tickets.take()):
             return why
-        return self.leaving.by_hand(tickets.proven if tickets else None)
+        return self.shutdown.by_hand(tickets.proven if tickets else None)
 
     async def activate(self) -> str:
-        why = self.leaving.back()
+        why = self.shutdown.back()
         tickets = self.coordination.drain_limiter if self.coordination else None
         if tickets and not why:
             tickets.give_back()
--- a/glenrock/coordination/drain_limiter.py
+++ b/glenrock/coordination/drain_limiter.py
@@ -118,7 +118,7 @@
         say("ticket", f"{self.held} is lost ({reason}): clients are taken again")
         self._leases.manager.wanted.discard(self.held)
         self.held = ""
-        self._context.host.leaving.back()
+        self._context.host.shutdown.back()
 
     async def _record_work(self) -> None:
         """A drain that goes on is work that is being done."""
--- a/glenrock/coordination/host.py
+++ b/glenrock/coordination/host.py
@@ -6,14 +6,14 @@
 
 from ..admin.operations import Operations
 from ..config import Config
+from ..net.acceptor import Acceptor
 from ..net.clock import Clock
-from ..net.command_server import CommandServer
-from ..net.decider import Decider
-from ..net.entrance import Entrance
-from ..net.instance import Instances
-from ..net.leaving import Leaving
-from ..net.name_table import NameTable
+from ..net.connection_table import ConnectionTable
+from ..net.endpoint_watcher import EndpointWatcher
+from ..net.graceful_shutdown import GracefulShutdown
 from ..net.peers import Peers
+from ..net.routing_actor import RoutingActor
+from ..net.server_connections import ServerRegistry
 from ..upgrade.agreement import Agreement
 
 
@@ -29,12 +29,12 @@
 
     config: Config
     clock: Clock
-    decider: Decider
-    instances: Instances
-    table: NameTable
-    server: CommandServer
-    entrance: Entrance
-    leaving: Leaving
+    routing: RoutingActor
+    servers: ServerRegistry
+    endpoints: EndpointWatcher
+    connections: ConnectionTable
+    acceptor: Acceptor
+    shutdown: GracefulShutdown
     peers: Peers | None
 
     @property
--- a/glenrock/coordination/override_applier.py
+++ b/glenrock/coordination/override_applier.py
@@ -74,8 +74,8 @@
             if failure := await host.operators.agreement.call(server, out):
                 say("fleet", f"{server}: {failure}")
         else:
-            host.instances.hold(server, out)
-            host.decider.order(interface.OperatorOverride(server, out, 0))
+            host.servers.hold(server, out)
+            host.routing.order(interface.OperatorOverride(server, out, 0))
 
     def _apply(self, changes: Mapping[str, bool]) -> None:
         async def carry_all_out() -> None:
--- a/glenrock/coordination/sharded_health_checks.py
+++ b/glenrock/coordination/sharded_health_checks.py
@@ -25,12 +25,12 @@
         host = context.host
         reported = host.config.settings.load_report_fields
         self._load_fields = [name for name in LOAD_FIELDS if name in reported]
-        self._send_health_check = host.decider.probe
-        self._post = host.instances.post
+        self._send_health_check = host.routing.probe
+        self._post = host.servers.post
         context.transport.register(datagrams.LoadShare, self._on_load_share)
         if self._load_fields:
-            host.decider.probe = self._check
-            host.instances.post = self._tap
+            host.routing.probe = self._check
+            host.servers.post = self._tap
         else:
             say("fleet", "jobs.probe_shards: reports tell no load here, so each balancer probes as it would without")
 
@@ -77,5 +77,5 @@
     def _warm_servers(self) -> list[str]:
         host = self._context.host
         warm_ms = host.clock.now() - host.config.settings.slow_start_us / 1000
-        instances = host.instances
+        instances = host.servers
         return [name for name in instances.listed() if instances.all[name].entry.since_ms <= warm_ms]
--- a/glenrock/coordination/warm_start/milestones.py
+++ b/glenrock/coordination/warm_start/milestones.py
@@ -4,19 +4,20 @@
 
 from typing import Any
 
-from ...net.pace import Pace
+from ...net.metrics import ConnectionOutcome
+from ...net.poll_backoff import PollBackoff
 from ..host import BalancerHost
 
 CHECK_INTERVAL_MS = 20.0
 FIRST_SERVICE_MS = 5000.0  # what is done in this time of service belongs to the start
 WATCH_LIMIT_MS = 600_000.0  # a start that is not over by then is looked at no more
-COUNTED_OUTCOMES = {"up": "fulfilled", "refused": "throttled", "failed": "faulted"}
+COUNTED_OUTCOMES: dict[str, ConnectionOutcome] = {"up": "fulfilled", "refused": "throttled", "failed": "faulted"}
 
 
 class CountingPollBackoff:
     """A poll backoff that counts what calls for the list came to, and is otherwise the one it was given."""
 
-    def __init__(self, backoff: Pace) -> None:
+    def __init__(self, backoff: PollBackoff) -> None:
         self.answered = self.refused = self.failed = 0
         self._backoff = backoff
 
@@ -56,12 +57,12 @@
         """Before the first call. `list_source`: what the start goes by: kept, given or none."""
         self._list_source = list_source
         self._waited_ms = self._clock.now() - self._begun_ms
-        self._calls = CountingPollBackoff(self._host.table.pace)
-        self._host.table.pace = self._calls  # type: ignore[assignment] # it is one in all that is called
+        self._calls = CountingPollBackoff(self._host.endpoints.pace)
+        self._host.endpoints.pace = self._calls  # type: ignore[assignment] # it is one in all that is called
 
     def _done(self) -> dict[str, int]:
         """Since the process began."""
-        counts = self._host.server.counts
+        counts = self._host.connections.metrics
         outcomes = {name: sum(counts.outcomes[key].values()) for name, key in COUNTED_OUTCOMES.items()}
         return {"attempts": counts.relayed, **outcomes}
 
@@ -69,9 +70,9 @@
         """Until the start is over. Looked at, not told: nothing that serves knows of it."""
         while self._clock.now() < self._begun_ms + WATCH_LIMIT_MS:
             now_ms = self._clock.now()
-            if not self._ready_ms and self._host.entrance.listener is not None:
+            if not self._ready_ms and self._host.acceptor.listener is not None:
                 self._ready_ms = now_ms
-            if not self._heard_ms and self._host.table.first.is_set():
+            if not self._heard_ms and self._host.endpoints.first.is_set():
                 self._heard_ms = now_ms
             if not self._served_ms and self._done()["up"] > 0:
                 self._served_ms = now_ms
--- a/glenrock/coordination/warm_start/start_cache.py
+++ b/glenrock/coordination/warm_start/start_cache.py
@@ -60,7 +60,7 @@
                 os.replace(self.path, f"{self.path}.spoilt")
         else:
             knowledge = self._usable(record, known)
-            balancer = self._host.decider.balancer
+            balancer = self._host.routing.balancer
             balancer.connection_loads.restore(knowledge.means, [c.name for c in balancer.settings.classes])
             known, self.status = knowledge.table, knowledge.why
         say("start", self.status)
@@ -70,15 +70,15 @@
         return usable_knowledge(record, known, self._clock.now(), self._boot, self._discovery(), self._trust)
 
     def _discovery(self) -> str:
-        host, port = self._host.table.address
+        host, port = self._host.endpoints.address
         return f"{host}:{port}"
 
     def current_record(self) -> StartRecord | None:
         """What is known now; None before discovery was heard: what stands on disk is better."""
-        table = self._host.table
+        table = self._host.endpoints
         if table.newest < 0 or not table.first.is_set():
             return None
-        entries = [server.entry for server in self._host.instances.all.values() if server.entry.status != DELETED]
+        entries = [server.entry for server in self._host.servers.all.values() if server.entry.status != DELETED]
         rows = [
             {
                 "name": entry.name,
@@ -92,7 +92,7 @@
             for entry in entries
         ]
         endpoints = {"index": table.newest, "snapshot": True, "endpoints": rows}
-        means = self._host.decider.balancer.connection_loads.snapshot()
+        means = self._host.routing.balancer.connection_loads.snapshot()
         return StartRecord(self._clock.now(), self._boot, self._discovery(), endpoints, means)
 
     def write(self, data: bytes) -> None:
@@ -120,7 +120,7 @@
         """Writes where the list has changed, or long enough ago."""
         now_ms = self._clock.now()
         written = self._written
-        if written and written.version == self._host.table.newest and now_ms - written.at_ms < WRITE_INTERVAL_MS:
+        if written and written.version == self._host.endpoints.newest and now_ms - written.at_ms < WRITE_INTERVAL_MS:
             return
         record = self.current_record()
         if record is None:
--- a/glenrock/lab/day_processes.py
+++ b/glenrock/lab/day_processes.py
@@ -111,7 +111,7 @@
                 self.moved(f)
 
     def send_away(self: Day, host: Host) -> None:
-        """Told by operators: as `glenrock/net/leaving.py` does it, step by step until all are gone."""
+        """Told by operators: as `glenrock/net/graceful_shutdown.py` does it, step by step until all are gone."""
         self.judge.seen(self.engine.now, f"balancer {host.index} sends its clients away", "", "")
         host.post(interface.DrainMode(True))
         self.engine.at(self.engine.now + FRONT_US, self.front.leave, host)
--- a/glenrock/net/__init__.py
+++ b/glenrock/net/__init__.py
@@ -1,1 +1,4 @@
-"""The network side: sockets, lines and actors. Decides nothing."""
+"""The balancer on real sockets: clients, servers, the endpoint list, and the other balancers.
+
+One process, one thread, one uvloop loop. Actors talk through bounded mailboxes; each socket has one owner.
+"""
--- /dev/null
+++ b/glenrock/net/acceptor.py
@@ -0,0 +1,307 @@
+"""Clients before their connection is routed: accepted, first lines read, whoever can't be read rejected."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import traceback
+from collections.abc import Callable
+from typing import Protocol
+
+from ..config import Address
+from ..log import say
+from . import protocol
+from .clock import Clock, Limit
+from .metrics import ConnectionOutcome
+from .socket_io import configure_socket, recv_into
+
+FIRST_LINE_MS = 2000.0  # the whole first line is due by then: whoever can't be read is owed a word within 3 s
+IDLE_MS = 10_000.0  # one that was answered PONG may stay this long
+LINGER_MS = 1000.0  # one that was rejected has this long to end
+LINGER_BYTES = 65536  # and may send this much more; past that it is cut off
+RESUME_MS = 20.0  # no connection is taken this long after one could not be
+MAX_ACCEPTS = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
+BACKLOG = 4096  # connections that the system accepts before this program does
+LAST_MS = 100.0  # once no more are taken, whoever has said nothing yet has this long
+MIN_ROOM = 16  # connections without a request that there is always room for
+TRACEBACK_LINES = -3
+LOGGED_BYTES = 120  # of a first line
+
+
+def _is_complete(data: bytes) -> bool:
+    """A first line, or more of it than a line may have."""
+    return b"\n" in data or len(data) >= protocol.MAX_LINE
+
+
+class Connections(Protocol):
+    """What a first line needs of the table of connections, whatever becomes of them.
+
+    Attributes:
+        known: what an OPEN may name.
+        retry_after_ms: whoever is rejected comes again after this; 0: nobody may be told when.
+    """
+
+    known: protocol.KnownNames
+    retry_after_ms: float
+
+    def knows(self, request_id: str) -> bool:
+        """Whether a connection of that id is open."""
+        ...
+
+    def full(self) -> bool:
+        """Whether there is no room for another."""
+        ...
+
+    def room(self) -> int:
+        """Connections that may be open without a request."""
+        ...
+
+    def record_answered(self, outcome: ConnectionOutcome, class_name: str) -> None:
+        """A connection with a sound first line has had its answer."""
+        ...
+
+    async def serve(self, sock: socket.socket, opened: protocol.OpenLine) -> None:
+        """Routes the connection, until its end."""
+        ...
+
+
+class Acceptor:
+    """Connections that have no request yet.
+
+    Attributes:
+        tasks: one a connection, those that are routed too.
+        unheard: tasks of those that have said nothing yet that could be answered, oldest first.
+        listener: the listening socket, while clients are taken.
+        away: clients are sent away: PING is told so. `refuses`: and new requests are rejected.
+        proof: of the right to that; it ends it where there is none.
+    """
+
+    def __init__(self, connections: Connections, clock: Clock) -> None:
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.unheard: dict[asyncio.Task[None], None] = {}
+        self.listener: socket.socket | None = None
+        self.away = False
+        self.refuses = False
+        self.proof: Callable[[], bool] | None = None
+        self._connections = connections
+        self._clock = clock
+        self._answered: dict[asyncio.Task[None], None] = {}  # have had an answer and are owed no other
+        self._waits: dict[asyncio.Task[None], Limit] = {}  # for a line of theirs
+        self._is_last = False  # no more are taken, and nobody is waited for
+
+    def proven(self) -> bool:
+        """Whether clients may be sent away.
+
+        Who slept since it was allowed to has the right no more, and would act on it before its clock has told it so.
+        """
+        return not (self.away and self.proof) or self.proof()
+
+    # -- the listening socket --------------------------------------------------------------------------
+
+    def listen(self, address: Address) -> socket.socket:
+        """A listening socket."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+        return sock
+
+    def open(self, listener: socket.socket) -> None:
+        """Takes connections from now on.
+
+        Read when the loop says so, not by sock_accept: a connection that it has taken just as it is cancelled would be
+        lost, and a successor's socket must stay whole.
+        """
+        self.listener = listener
+        asyncio.get_running_loop().add_reader(listener, self._accept, MAX_ACCEPTS)
+
+    def close(self) -> None:
+        """Takes no more.
+
+        What is in the queue stays there, for whoever holds the socket too; where nobody does, it is reset.
+        """
+        if self.listener:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+
+    def leave_none(self) -> None:
+        """The last of it: nobody is taken, and whoever is here is told.
+
+        The machine has accepted what is in the queue, and a request in it would be lost with the reset.
+        """
+        self.refuses = self._is_last = True
+        if self.listener:
+            self._accept(BACKLOG)
+        self.close()
+        for limit in list(self._waits.values()):
+            limit.stop()
+
+    def _accept(self, most: int) -> None:
+        for _ in range(most):
+            if self.listener is None:
+                return
+            try:
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self._pause_accepting(self.listener, error)
+                return
+            self._take(sock)
+
+    def _pause_accepting(self, listener: socket.socket, error: OSError) -> None:
+        """Out of descriptors, or a client that left at once: the listener must outlive both."""
+        say("accept", str(error))
+        self._shed()
+        asyncio.get_running_loop().remove_reader(listener)
+        self._clock.call_at(self._clock.now() + RESUME_MS, self._resume)
+
+    def _resume(self) -> None:
+        if self.listener:
+            asyncio.get_running_loop().add_reader(self.listener, self._accept, MAX_ACCEPTS)
+
+    # -- connections -----------------------------------------------------------------------------------
+
+    def _take(self, sock: socket.socket) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(sock))
+        self.tasks.add(task)
+        self.unheard[task] = None
+        task.add_done_callback(lambda task: self._ended(task, sock))
+        # Silent connections by the hundred would take all descriptors, and with them the requests, the health checks
+        # and discovery. Past their room the oldest go at once; sound ones have spoken by then.
+        while len(self.unheard) + len(self._answered) > self._connections.room():
+            self._shed()
+
+    def _ended(self, task: asyncio.Task[None], sock: socket.socket) -> None:
+        self.tasks.discard(task)
+        self.unheard.pop(task, None)
+        self._answered.pop(task, None)
+        sock.close()
+
+    def _shed(self) -> None:
+        """Closes the oldest connection without a request, first among those that have had an answer."""
+        for pool in (self._answered, self.unheard):
+            for task in pool:
+                say("shed", f"{len(self.unheard)} connections without a first line: the oldest is closed")
+                del pool[task]
+                task.cancel()
+                return
+
+    def _record_answer(self) -> None:
+        task = _current_task()
+        self.unheard.pop(task, None)
+        self._answered[task] = None
+
+    async def _serve(self, sock: socket.socket) -> None:
+        try:
+            configure_socket(sock)
+            opened = await self._first_line(sock)
+            if opened is None:
+                return
+            task = _current_task()
+            del (self.unheard if task in self.unheard else self._answered)[task]
+            await self._connections.serve(sock, opened)
+        except OSError:
+            pass
+        except Exception:  # noqa: BLE001 - the edge of the connection's task
+            say("connection", traceback.format_exc(limit=TRACEBACK_LINES))
+
+    async def _first_line(self, sock: socket.socket) -> protocol.OpenLine | None:
+        """The request that the client opens with; None if it has left or was rejected."""
+        loop = asyncio.get_running_loop()
+        data, pinged = b"", False
+        while True:
+            read = await self._read_line(sock, data, pinged)
+            if read is None:
+                return None
+            data = read
+            if not _is_complete(data):
+                rests = pinged and not data
+                line = protocol.busy_line(self._connections.retry_after_ms) if rests else protocol.FAILED
+                await self._reject(sock, line)
+                return None
+            line, end, rest = data.partition(b"\n")
+            if line + end != protocol.PING:
+                return await self._open(sock, data)
+            self.proven()
+            await loop.sock_sendall(sock, protocol.FAILED if self.away else protocol.PONG)
+            self._record_answer()
+            data, pinged = rest, True
+
+    async def _read_line(self, sock: socket.socket, data: bytes, pinged: bool) -> bytes | None:
+        """What there is once a line is complete or time is up; None where the client has left."""
+        loop = asyncio.get_running_loop()
+        buffer = bytearray(protocol.MAX_LINE)
+        task = _current_task()
+        async with self._clock.limit(self._line_limit_ms(pinged)) as limit:
+            self._waits[task] = limit
+            try:
+                while not _is_complete(data):
+                    count = await recv_into(loop, sock, buffer)
+                    if not count:
+                        return None
+                    data += buffer[:count]
+            finally:
+                del self._waits[task]
+        if limit.over:
+            # A request may have come in the instant in which its connection is given up.
+            with contextlib.suppress(BlockingIOError):
+                data += sock.recv(protocol.MAX_LINE)
+        return data
+
+    def _line_limit_ms(self, pinged: bool) -> float:
+        if self._is_last:
+            return LAST_MS
+        return IDLE_MS if pinged else FIRST_LINE_MS
+
+    async def _open(self, sock: socket.socket, data: bytes) -> protocol.OpenLine | None:
+        """The request; None if it was rejected."""
+        try:
+            opened = protocol.parse_open(data, self._connections.known)
+            if self._connections.knows(opened.id):
+                raise protocol.OpenLineError("the id of a command that is open")  # noqa: TRY301 - answered alike
+        except protocol.OpenLineError as error:
+            self._count_unsound(data)
+            say("first line", f"not understood, {error}: {data[:LOGGED_BYTES]!r}")
+            await self._reject(sock, protocol.FAILED)
+            return None
+        if not (self.proven() and self.refuses) and not self._connections.full():
+            return opened
+        if not self.refuses:
+            say("descriptors", "no room for another command: nacked")
+        self._connections.record_answered("throttled", opened.class_name)
+        retry_after_ms = self._connections.retry_after_ms * (0.5 + random.random() / 2)  # noqa: S311 - jitter
+        await self._reject(sock, protocol.busy_line(retry_after_ms))
+        return None
+
+    def _count_unsound(self, data: bytes) -> None:
+        """What is wrong may have come behind a sound line: it has a class, and counts there."""
+        with contextlib.suppress(protocol.OpenLineError):
+            first = protocol.parse_open(data.partition(b"\n")[0] + b"\n", self._connections.known)
+            self._connections.record_answered("faulted", first.class_name)
+
+    async def _reject(self, sock: socket.socket, line: bytes) -> None:
+        """The answer, then the client's end is awaited.
+
+        A close with its bytes unread resets the connection, and some lose the answer with it. Whoever sends on and on
+        has no such care taken.
+        """
+        loop = asyncio.get_running_loop()
+        buffer = bytearray(protocol.MAX_LINE)
+        left = LINGER_BYTES
+        self._record_answer()
+        async with self._clock.limit(LINGER_MS):
+            await loop.sock_sendall(sock, line)
+            sock.shutdown(socket.SHUT_WR)
+            while left > 0 and (count := await loop.sock_recv_into(sock, buffer)):
+                left -= count
+
+
+def _current_task() -> asyncio.Task[None]:
+    task = asyncio.current_task()
+    assert task is not None, "called within a task"
+    return task
--- a/glenrock/upgrade/agreement.py
+++ b/glenrock/upgrade/agreement.py
@@ -9,8 +9,8 @@
 
 from ..log import say
 from ..net.clock import Clock, micros
-from ..net.decider import Decider
-from ..net.instance import Instances
+from ..net.routing_actor import RoutingActor
+from ..net.server_connections import ServerRegistry
 from . import state
 
 POLL_MS = 100.0  # the other process's calls are seen this late, beside a grace of 2.5 s
@@ -21,8 +21,8 @@
 class Agreement:
     """Without a folder all is kept in this process alone."""
 
-    def __init__(self, folder: str, clock: Clock, instances: Instances, decider: Decider) -> None:
-        self.folder, self.clock, self.instances, self.decider = folder, clock, instances, decider
+    def __init__(self, folder: str, clock: Clock, servers: ServerRegistry, routing: RoutingActor) -> None:
+        self.folder, self.clock, self.servers, self.routing = folder, clock, servers, routing
         self.shared = state.Shared()
         self.signature: state.Signature | None = None
         self.changing = asyncio.Lock()
@@ -30,7 +30,7 @@
 
     def knows(self, name: str) -> bool:
         """Whether it was ever listed, here or in a process before."""
-        return name in self.instances.all or name in self.shared.seen
+        return name in self.servers.all or name in self.shared.seen
 
     def start(self) -> None:
         """Before the first list is taken: what was out stays out, and who came back lately is cold."""
@@ -41,7 +41,7 @@
         while True:
             await self.clock.sleep(POLL_MS)
             self.follow()
-            if len(self.instances.all) != self.had:
+            if len(self.servers.all) != self.had:
                 try:
                     await self.change(lambda shared: None)
                 except OSError as bad:
@@ -80,9 +80,9 @@
             how(self.shared)
             return
         async with self.changing:
-            had, oldest = len(self.instances.all), self.clock.now() - KEPT_MS
+            had, oldest = len(self.servers.all), self.clock.now() - KEPT_MS
             told, new, signature = await asyncio.to_thread(
-                state.exchange, self.folder, how, self.shared, list(self.instances.all), oldest)
+                state.exchange, self.folder, how, self.shared, list(self.servers.all), oldest)
             if told is not None:
                 self.take(told)
             self.signature, self.shared, self.had = signature, new, had
@@ -112,9 +112,9 @@
         if before != out:
             say("by hand", f"{name} {'is out of rotation' if out else 'may serve again'}")
         self.apply(name, out, self.shared.back.get(name, 0.0) if before != out else 0.0)
-        await self.decider.settled()
+        await self.routing.settled()
         return ""
 
     def apply(self, name: str, out: bool, at_ms: float) -> None:
-        self.instances.hold(name, out)
-        self.decider.order(interface.OperatorOverride(name, out, micros(at_ms)))
+        self.servers.hold(name, out)
+        self.routing.order(interface.OperatorOverride(name, out, micros(at_ms)))
--- a/glenrock/upgrade/handover.py
+++ b/glenrock/upgrade/handover.py
@@ -12,15 +12,14 @@
 import json
 import os
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from ..log import say
-from ..net import lines
+from ..net import protocol
+from ..net.client_connection import ClientConnection
 from ..net.clock import Clock
-from ..net.command import Command
-from ..net.command_server import CommandServer
-from ..net.instance import tune
-from ..net.readiness import readable, recv_into
+from ..net.connection_table import ConnectionTable
+from ..net.socket_io import configure_socket, readable, recv_into
 
 NAME = "glenrock-relays.sock"
 VERSION = 1
@@ -44,15 +43,15 @@
         os.close(number)
 
 
-def message(command: Command, load: int) -> bytes:
-    splitter = command.splitter
+def message(command: ClientConnection, load: int) -> bytes:
+    splitter = command.gate.splitter
     return json.dumps({
-        "version": VERSION, "line": command.opened.line.decode("latin-1"), "instance": command.name, "load": load,
+        "version": VERSION, "line": command.opened.line.decode("latin-1"), "instance": command.server, "load": load,
         "part": splitter.part.decode("latin-1"), "overlong": splitter.overlong, "asked_at": command.asked_at,
         "word": command.last_word}).encode()
 
 
-def relay_of(data: bytes, server: CommandServer, client: socket.socket, instance: socket.socket) -> Command:
+def relay_of(data: bytes, server: ConnectionTable, client: socket.socket, instance: socket.socket) -> ClientConnection:
     """The relay, its pumps running. ValueError where it cannot be one of this process."""
     raw = json.loads(data)
     if not isinstance(raw, dict) or raw.get("version") != VERSION:
@@ -62,18 +61,15 @@
     for key, kind in kinds.items():
         if not isinstance(raw.get(key), kind):
             raise ValueError(f"{key}: {raw.get(key)!r:.100}")
-    opened = lines.parse_open(raw["line"].encode("latin-1"), server.known)
-    if isinstance(opened, str):
-        raise ValueError(opened)
+    opened = protocol.parse_open(raw["line"].encode("latin-1"), server.known)
     if server.knows(opened.id):
         raise ValueError("the id of a command that is open")
     if server.full():
         raise ValueError("no room for another command")
-    tune(client)
-    tune(instance)
-    command = Command(server, client, opened)
-    command.splitter.part, command.splitter.overlong = raw["part"].encode("latin-1"), raw["overlong"]
-    command.passed = not command.splitter.between  # a relay that holds part of a line back is never handed over
+    configure_socket(client)
+    configure_socket(instance)
+    command = ClientConnection(server, client, opened)
+    command.gate.restore(raw["part"].encode("latin-1"), raw["overlong"])
     command.asked_at, command.last_word, command.load = raw["asked_at"], raw["word"], max(0, raw["load"])
     command.take_over(raw["instance"], instance)
     return command
@@ -82,7 +78,7 @@
 class Taker:
     """Of a process that takes clients: whoever goes before it finds it here."""
 
-    def __init__(self, folder: str, server: CommandServer) -> None:
+    def __init__(self, folder: str, server: ConnectionTable) -> None:
         self.folder, self.server = folder, server
         self.sock: socket.socket | None = None
         self.inode = 0  # of the socket's file, while it is ours
@@ -155,8 +151,8 @@
 class Giver:
     """Of a process that was told to go."""
 
-    def __init__(self, folder: str, clock: Clock, own: int) -> None:
-        self.folder, self.clock, self.own = folder, clock, own
+    def __init__(self, folder: str, clock: Clock, own: int, load_of: Callable[[str], int]) -> None:
+        self.folder, self.clock, self.own, self.load_of = folder, clock, own, load_of
         self.sock: socket.socket | None = None
         self.turn = asyncio.Lock()
         self.given = 0
@@ -177,15 +173,15 @@
         self.sock = sock
         return True
 
-    async def give(self, command: Command) -> bool:
+    async def give(self, command: ClientConnection) -> bool:
         async with self.turn:
             if not self.sock:
                 return False
-            data = message(command, command.decider.load_of(command.opened.id))
+            data = message(command, self.load_of(command.opened.id))
             answer = bytearray(64)
             loop = asyncio.get_running_loop()
             try:
-                socket.send_fds(self.sock, [data], [command.sock.fileno(), command.execution.sock.fileno()])
+                socket.send_fds(self.sock, [data], [command.sock.fileno(), command.server_sock.fileno()])
                 async with self.clock.limit(ANSWER_MS) as limit:
                     count = await recv_into(loop, self.sock, answer)
                 # Danger: without an answer in time it may be the successor's already. Two that read one
--- a/tests/coordination/test_coldstart.py
+++ b/tests/coordination/test_coldstart.py
@@ -26,7 +26,7 @@
 )
 from glenrock.coordination.warm_start.start_report import HEADER, report
 from glenrock.net.clock import SetClock
-from glenrock.net.pace import Pace
+from glenrock.net.poll_backoff import PollBackoff
 from glenrock.routing import Balancer, interface
 
 TRUST = RecordTrust(list_ms=60_000.0, half_ms=10_000.0)
@@ -180,9 +180,9 @@
     heard.set()
     program = SimpleNamespace(
         clock=SetClock(NOW),
-        decider=SimpleNamespace(balancer=Balancer(SETTINGS, 1)),
-        table=SimpleNamespace(address=("d", 1), newest=version, first=heard),
-        instances=SimpleNamespace(all={"s1": SimpleNamespace(entry=entry), "s2": SimpleNamespace(entry=gone)}),
+        routing=SimpleNamespace(balancer=Balancer(SETTINGS, 1)),
+        endpoints=SimpleNamespace(address=("d", 1), newest=version, first=heard),
+        servers=SimpleNamespace(all={"s1": SimpleNamespace(entry=entry), "s2": SimpleNamespace(entry=gone)}),
     )
     return StartCache(program, folder, "n0", TRUST)
 
@@ -192,11 +192,11 @@
         k, written = keeper(tmp_path), []
         write = k.write
         k.write = lambda data: (write(data), written.append(decode(data).table["index"]))
-        k._host.table.newest = -1
+        k._host.endpoints.newest = -1
         await k.write_if_due()
         assert not written and not k.path.exists()
         for version, later in ((3, 0), (3, 500), (4, 500), (4, 9000), (4, 1000)):
-            k._host.table.newest = version
+            k._host.endpoints.newest = version
             k._clock.time += later
             await k.write_if_due()
         assert written == [3, 4, 4]
@@ -238,7 +238,7 @@
         k = keeper(tmp_path)
         await k.write_if_due()
         before = k.path.read_bytes()
-        k._host.table.newest = 9
+        k._host.endpoints.newest = 9
         with monkeypatch.context() as m:
 
             def full(*_, **__) -> None:
@@ -378,9 +378,9 @@
 
 
 def test_calls_for_the_list_are_counted_and_the_pace_is_the_one_that_was() -> None:
-    one, other = (Pace(200, True, random.Random(1)) for _ in range(2))
+    one, other = (PollBackoff(200, True, random.Random(1)) for _ in range(2))
     counted = CountingPollBackoff(one)
-    assert (counted.must_ask, counted.wait, counted.grace) == (other.must_ask, other.wait, other.grace)
+    assert (counted.must_poll, counted.watch_ms, counted.grace_ms) == (other.must_poll, other.watch_ms, other.grace_ms)
     for _ in range(3):
         assert counted.overbooked() == other.overbooked() and counted.retry(2) == other.retry(2)
     counted.heard()
--- a/tests/routing/test_failure_domains.py
+++ b/tests/routing/test_failure_domains.py
@@ -182,7 +182,7 @@
 def test_what_is_believed_of_a_link_is_logged_once_each_way(capsys) -> None:
     from conftest import settings as usual
 
-    from glenrock.net.decider import Decider
+    from glenrock.net.routing_actor import RoutingActor
 
     class At:
         ms = 1000.0
@@ -191,7 +191,7 @@
             return self.ms
 
     clock = At()
-    d = Decider(usual(zone="a", may_health_check=True, load_report_fields=("load_ratio",)), 1, clock)
+    d = RoutingActor(usual(zone="a", may_health_check=True, load_report_fields=("load_ratio",)), 1, clock)
     entries = tuple(interface.Endpoint(f"{z}{n}:1", "ready", z) for z in "ab" for n in range(4))
     d.turn([interface.EndpointList("full", entries)])
     for events in (
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenrock.net import name_table, peers
+from glenrock.net import endpoint_watcher, peers
 from glenrock.routing import interface
 from glenrock.routing.gossip_codec import decode, encode, fault
 
@@ -20,7 +20,7 @@
 @pytest.fixture
 def said(monkeypatch) -> list[str]:
     lines: list[str] = []
-    for module in (name_table, peers):
+    for module in (endpoint_watcher, peers):
         monkeypatch.setattr(module, "say", lambda kind, text: lines.append(f"{kind}: {text}"))
     return lines
 
@@ -47,7 +47,7 @@
 
 def test_an_instance_that_stands_twice_is_told(said) -> None:
     row = {"name": "s1", "status": "SERVING"}
-    _, _, rows = name_table.rows_of({"index": 1, "snapshot": True, "endpoints": [
+    _, _, rows = endpoint_watcher.news_of({"index": 1, "snapshot": True, "endpoints": [
         {**row, "address": "127.0.0.1:1"}, {**row, "address": "127.0.0.1:2"}]})
     assert [r.address for r in rows] == [B]
     assert said == [f"name table: s1 stands twice, at {A} and {B}: the later row counts"]
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -18,11 +18,11 @@
     await site.open()
     loop, door = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
     door.setblocking(False)
-    instance = site.program.server.instances.get("s1")
+    instance = site.program.servers.get("s1")
     instance.entry.address = door.getsockname()
     client = socket.create_connection(("127.0.0.1", site.port))
     client.sendall(b"OPEN wait-1 1 c=look,d=1000\r\n")
-    while not (site.commands and site.commands["wait-1"].execution and site.commands["wait-1"].execution.sock):
+    while not (site.commands and site.commands["wait-1"].attempt and site.commands["wait-1"].attempt.sock):
         await asyncio.sleep(0)
     at, _ = await loop.sock_accept(door)
     assert (await loop.sock_recv(at, 100)).startswith(b"OPEN wait-1 ")
@@ -63,23 +63,23 @@
         sock.connect_ex(full.getsockname())
         waiting.append(sock)
     await asyncio.sleep(0.05)
-    site.program.server.instances.get("s1").entry.address = full.getsockname()
-    site.program.server.instances.dial_ms = site.program.server.instances.get("s1").dial_ms = 9000.0
+    site.program.servers.get("s1").entry.address = full.getsockname()
+    site.program.servers.dial_ms = site.program.servers.get("s1").dial_ms = 9000.0
     descriptors = len(os.listdir("/proc/self/fd"))
     client = socket.create_connection(("127.0.0.1", site.port))
     client.sendall(b"OPEN wait-1 1 c=look,d=5000\r\n")
-    while not (site.commands and site.commands["wait-1"].execution and site.commands["wait-1"].execution.sock):
+    while not (site.commands and site.commands["wait-1"].attempt and site.commands["wait-1"].attempt.sock):
         await asyncio.sleep(0)
     await asyncio.sleep(0.05)
-    execution = site.commands["wait-1"].execution
+    execution = site.commands["wait-1"].attempt
     assert execution.reach == 0 and not execution.task.done(), "the dial hangs"
     client.close()
     began = time.monotonic()
-    while site.commands or site.program.entrance.tasks:
+    while site.commands or site.program.acceptor.tasks:
         await asyncio.sleep(0.001)
     took = time.monotonic() - began
     assert execution.task.done() and execution.sock is None
-    assert len(os.listdir("/proc/self/fd")) <= descriptors and not site.program.decider.balancer.requests
+    assert len(os.listdir("/proc/self/fd")) <= descriptors and not site.program.routing.balancer.requests
     for sock in [*waiting, full]:
         sock.close()
     return took, {o: c["look"] for o, c in site.counts.outcomes.items() if c["look"]}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,11 +20,11 @@
 
 from glenrock.__main__ import Program
 from glenrock.config import check
-from glenrock.net import instance as instance_part
+from glenrock.net import server_connections as instance_part
+from glenrock.net.acceptor import IDLE_MS, LAST_MS, LINGER_MS
+from glenrock.net.attempt_outcomes import Reach
+from glenrock.net.client_connection import AnswerNow, ClientConnection, MigrateClient, RelayEnd
 from glenrock.net.clock import SetClock
-from glenrock.net.command import Command, Dismiss, Ended, Move
-from glenrock.net.entrance import IDLE_MS, LAST_MS, LINGER_MS
-from glenrock.net.errors import Reach
 from glenrock.routing import interface
 
 LINE = b"OPEN x1 1 c=look,d=1500\r\n"
@@ -48,10 +48,10 @@
 
 def refused(rig: Rig, command) -> None:
     """What the module's refusal does, at any instant: it forgets the request, and the answer is on its way."""
-    balancer = rig.program.decider.balancer
+    balancer = rig.program.routing.balancer
     if command.opened.id in balancer.requests:
         balancer.lifecycle.client_disconnected(command.opened.id)
-        command.nack(500.0)
+        command.reject(500.0)
 
 
 class Rig:
@@ -68,7 +68,7 @@
             "name": "n0", "listen": "127.0.0.1:0", "seed": "7", "known": self.rows(),
             "discovery": address(self.discovery),
             "settings": {**SETTINGS, "balancers": 1, "classes": classes, **over}}), self.clock)
-        self.entrance, self.commands = self.program.entrance, self.program.server.commands
+        self.entrance, self.commands = self.program.acceptor, self.program.connections.by_id
         starting = asyncio.create_task(self.program.start())
         self.list = await self.accepted(self.discovery)
         await self.until(lambda: self.read(self.list).startswith(b"GET /discovery/hosts HTTP"))
@@ -149,7 +149,7 @@
         for _ in range(10):
             await asyncio.sleep(0.0002)
 
-    async def asked(self) -> tuple[socket.socket, socket.socket, Command]:
+    async def asked(self) -> tuple[socket.socket, socket.socket, ClientConnection]:
         """A program, and a request that has been sent on and waits for its answer."""
         await self.open()
         client = self.client(LINE)
@@ -174,7 +174,7 @@
                     data, _ = await self.rest(sock)
                     sock.close()
                     assert b"OPEN" not in data
-        assert not self.program.decider.balancer.requests
+        assert not self.program.routing.balancer.requests
 
 
 def played(story: Callable[[Rig], Awaitable[None]]) -> None:
@@ -189,15 +189,15 @@
     """The attempt lies with the instance's actor; the client's end is told before its first step."""
     await rig.open()
     client = rig.client(LINE)
-    execute = None
+    start_attempt = None
 
     async def caught() -> None:
         await rig.until(lambda: rig.commands)
         command = rig.commands["x1"]
-        nonlocal execute
-        execute = command.execute
-        command.execute = lambda name, ms: (execute(name, ms), command.mailbox.mail.appendleft(Ended.CLIENT_FIN),
-                                            command.mailbox.wake())
+        nonlocal start_attempt
+        start_attempt = command.start_attempt
+        command.start_attempt = lambda name, ms: (
+            start_attempt(name, ms), command.mailbox.mail.appendleft(RelayEnd.CLIENT_FIN), command.mailbox.wake())
     await caught()
     leave(client)
 
@@ -212,9 +212,9 @@
         plugs[-1].setblocking(False)
         plugs[-1].connect_ex(full.getsockname())
     await rig.turns()
-    rig.program.server.instances.get("s1").entry.address = full.getsockname()
+    rig.program.servers.get("s1").entry.address = full.getsockname()
     client = rig.client(LINE)
-    await rig.until(lambda: rig.commands and rig.commands["x1"].execution and rig.commands["x1"].execution.sock)
+    await rig.until(lambda: rig.commands and rig.commands["x1"].attempt and rig.commands["x1"].attempt.sock)
     leave(client)
     await rig.turns()
     for sock in plugs:
@@ -245,7 +245,7 @@
     rig.say(s1="DRAINING")
     await rig.turns()
     client = rig.client(LINE)
-    await rig.until(lambda: rig.program.decider.balancer.requests)
+    await rig.until(lambda: rig.program.routing.balancer.requests)
     leave(client)
     await rig.turns()
     await rig.until(lambda: rig.read(rig.list))
@@ -259,8 +259,8 @@
     address = listener.getsockname()
     listener.close()
     client = rig.client(b"OPEN x1 1 c=look,at=s1\r\n")
-    await rig.until(lambda: rig.commands and rig.commands["x1"].execution
-                    and rig.commands["x1"].execution.task and rig.commands["x1"].execution.task.done())
+    await rig.until(lambda: rig.commands and rig.commands["x1"].attempt
+                    and rig.commands["x1"].attempt.task and rig.commands["x1"].attempt.task.done())
     await rig.turns()
     leave(client)
     await rig.turns()
@@ -274,14 +274,14 @@
     rig.say(s1="DRAINING")
     await rig.turns()
     client = rig.client(LINE)
-    await rig.until(lambda: rig.program.decider.balancer.requests)
-    command, gone = rig.commands["x1"], rig.commands["x1"].gone
+    await rig.until(lambda: rig.program.routing.balancer.requests)
+    command, gone = rig.commands["x1"], rig.commands["x1"].forget
 
     def crossed() -> None:
         gone()
-        rig.program.server.instances.get("s1").entry.status = "SERVING"
-        rig.program.decider.act(interface.StartAttempt("x1", "s1", 900_000))
-    command.gone = crossed
+        rig.program.servers.get("s1").entry.status = "SERVING"
+        rig.program.routing.act(interface.StartAttempt("x1", "s1", 900_000))
+    command.forget = crossed
     leave(client)
 
 
@@ -295,7 +295,7 @@
 async def late_turn(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
     """Its end and the instance's connection come in one turn, and the instance's actor has it first."""
     await rig.open()
-    instance = rig.program.server.instances.get("s1")
+    instance = rig.program.servers.get("s1")
     attempt = instance.attempt
 
     async def first(x) -> object:
@@ -358,7 +358,7 @@
         rests, waits = rig.client(b"PING\r\n"), rig.client(LINE.replace(b"1500", b"9000"))
         assert await rig.until(lambda: rig.read(rests)) == b"PONG\r\n"
         await rig.at("s1")
-        end = asyncio.create_task(rig.program.leaving.stop(False, None))
+        end = asyncio.create_task(rig.program.shutdown.stop(False, None))
         async with asyncio.timeout(10):
             while not end.done():
                 await rig.run(10)
@@ -376,7 +376,7 @@
             client.sendall(late)  # no turn of the loop before the signal
 
         async def told_at_the_end() -> bytes:
-            await rig.program.leaving.stop(True, None)
+            await rig.program.shutdown.stop(True, None)
             return rig.read(client)
         end = asyncio.create_task(told_at_the_end())
         async with asyncio.timeout(10):
@@ -441,8 +441,8 @@
             await rig.turns()
         client = rig.client(LINE)
         at = await rig.at("s1") if sent else None
-        await rig.until(lambda: rig.program.decider.balancer.requests)
-        rig.commands["x1"].mailbox.deliver(Dismiss(1000))
+        await rig.until(lambda: rig.program.routing.balancer.requests)
+        rig.commands["x1"].mailbox.deliver(AnswerNow(1000))
         data, end = await rig.rest(client)
         assert data.startswith(word) and data.count(b"\n") == 1 and end == "fin"
         if at:
@@ -455,15 +455,15 @@
 def test_one_that_came_up_as_it_was_refused_stands_and_the_module_knows_it() -> None:
     async def story(rig: Rig) -> None:
         client, at, command = await rig.asked()
-        answered = command.answered
+        answered = command.attempt_done
 
         def crossed(x, outcome) -> None:  # the answer, and right behind it the module's last word
             answered(x, outcome)
             refused(rig, command)
-        command.execution.done = crossed
+        command.attempt.done = crossed
         at.sendall(b"UP r\r\n")
         assert await rig.until(lambda: rig.read(client)) == b"UP r\r\n"
-        await rig.until(lambda: rig.program.decider.balancer.requests)
+        await rig.until(lambda: rig.program.routing.balancer.requests)
         rig.say(s1="DRAINING")
         await rig.run(2600)
         assert (await rig.rest(client))[0] == b"MOVE\r\n"
@@ -473,8 +473,8 @@
 def test_one_that_comes_up_after_it_was_refused_is_closed_before_its_client_hears() -> None:
     async def story(rig: Rig) -> None:
         client, at, command = await rig.asked()
-        answered = command.answered
-        command.execution.done = lambda x, outcome: (refused(rig, command), answered(x, outcome))
+        answered = command.attempt_done
+        command.attempt.done = lambda x, outcome: (refused(rig, command), answered(x, outcome))
         at.sendall(b"UP r\r\n")
         assert await rig.rest(at) == (b"", "fin")
         data, end = await rig.rest(client)
@@ -512,7 +512,7 @@
                     idle += 1
                     await asyncio.sleep(0.0002)
             assert not rig.commands["x1"].idle_up
-        rig.commands["x1"].mailbox.put(Move("cancelled"))
+        rig.commands["x1"].mailbox.put(MigrateClient("cancelled"))
         got = b""
         async with asyncio.timeout(5):
             while not got.endswith(b"MOVE\r\n"):
@@ -528,13 +528,13 @@
 def test_one_that_came_up_as_the_process_ends_is_moved_and_one_dismissed_first_is_closed(first: str) -> None:
     async def story(rig: Rig) -> None:
         client, at, command = await rig.asked()
-        answered = command.answered
+        answered = command.attempt_done
 
         def crossed(x, outcome) -> None:
-            order = [lambda: answered(x, outcome), lambda: command.mailbox.deliver(Dismiss(700))]
+            order = [lambda: answered(x, outcome), lambda: command.mailbox.deliver(AnswerNow(700))]
             for act in order if first == "answer" else reversed(order):
                 act()
-        command.execution.done = crossed
+        command.attempt.done = crossed
         at.sendall(b"UP r\r\n")
         assert await rig.rest(at) == (b"", "fin")
         assert await rig.rest(client) == (b"UP r\r\nMOVE\r\n" if first == "answer" else b"BUSY 700\r\n", "fin")
@@ -556,12 +556,12 @@
 
 def test_a_line_whose_writing_was_stopped_may_have_run(monkeypatch) -> None:
     """Its last byte may be out: whoever may not be asked twice is failed, and no other instance gets it."""
-    monkeypatch.setattr(instance_part.lines, "with_wait", lambda line, ms: line + b"z" * (16 << 20))
+    monkeypatch.setattr(instance_part.protocol, "with_wait", lambda line, ms: line + b"z" * (16 << 20))
     async def story(rig: Rig) -> None:
         await rig.open("s1", "s2", effect="unsafe")
         client = rig.client(LINE)
-        await rig.until(lambda: rig.commands and rig.commands["x1"].execution
-                        and rig.commands["x1"].execution.reach == Reach.PARTLY_WRITTEN)
+        await rig.until(lambda: rig.commands and rig.commands["x1"].attempt
+                        and rig.commands["x1"].attempt.reach == Reach.PARTLY_WRITTEN)
         await rig.run(1600)
         assert rig.read(client) == b"ERR\r\n"
         came = 0
@@ -583,7 +583,7 @@
         command, elsewhere = rig.commands["x1"], []
         await rig.until(command.still)
 
-        async def give(command) -> bool:
+        async def give() -> bool:
             elsewhere.append(rig.keep(command.sock.dup()))
             await rig.turns()
             return taken
@@ -642,10 +642,10 @@
     async def story(rig: Rig) -> None:
         await rig.open(caps=PROBES, report={"how": "probe", "names": ["x0"]})
         results = []
-        instance = rig.program.server.instances.get("s1")
+        instance = rig.program.servers.get("s1")
         instance.post = results.append
         for _ in range(2):
-            rig.program.server.instances.probe("s1")
+            rig.program.servers.probe("s1")
             at = await rig.accepted(rig.doors["s1"])
             assert await rig.until(lambda at=at: rig.read(at)) == b"STATS\r\n"
             at.sendall(b"PONG x0=0.5\r\n")
@@ -688,7 +688,7 @@
         if answered:
             rig.say(s1="DRAINING")  # no turn of the loop between
         rig.discovery, rig.index = door(), 0
-        rig.program.table.move(rig.discovery.getsockname())
+        rig.program.endpoints.move(rig.discovery.getsockname())
         rig.list = await rig.accepted(rig.discovery)
         assert (await rig.until(lambda: rig.read(rig.list))).startswith(b"GET /discovery/hosts HTTP")
         rig.say()
@@ -724,9 +724,9 @@
                 elif what == "client" and not left and command.up.is_set():
                     client.sendall(b"hello\r\n")
                 elif what == "move" and command.up.is_set():
-                    command.mailbox.put(Move("cancelled"))
+                    command.mailbox.put(MigrateClient("cancelled"))
                 elif what == "dismiss":
-                    command.mailbox.deliver(Dismiss(700))
+                    command.mailbox.deliver(AnswerNow(700))
                 elif what == "nack":
                     refused(rig, command)
                 elif what == "turns":
@@ -742,7 +742,7 @@
         await rig.turns()
         got = b""
         if not left:
-            command.mailbox.deliver(Move("cancelled") if command.up.is_set() else Dismiss(1000))
+            command.mailbox.deliver(MigrateClient("cancelled") if command.up.is_set() else AnswerNow(1000))
             got, _ = await rig.rest(client)
             closed(client, False)
         if not ended:
@@ -760,7 +760,7 @@
         elif not left and got:
             assert got.count(b"\n") == 1 and got.split(b" ")[0].strip() in (b"BUSY", b"ERR"), got
         await rig.turns()
-        assert not rig.program.decider.balancer.requests
+        assert not rig.program.routing.balancer.requests
         gc.collect()
         for sock in (client, at):
             sock.close()
@@ -833,7 +833,7 @@
                 with contextlib.suppress(OSError):
                     rig.say(s1="DRAINING" if what == "drain" else "SERVING")
             elif what == "term":
-                stops = stops or asyncio.create_task(rig.program.leaving.stop(False, None))
+                stops = stops or asyncio.create_task(rig.program.shutdown.stop(False, None))
             elif out and len(out) - 1 not in over and not stood:
                 with contextlib.suppress(OSError):
                     if what in ANSWERS:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -18,12 +18,12 @@
 from glenrock.__main__ import Program
 from glenrock.admin.listener import MOST, Listener
 from glenrock.config import check
+from glenrock.net.attempt_outcomes import AttemptEnd
 from glenrock.net.clock import Clock
-from glenrock.net.counts import Counts
-from glenrock.net.errors import End
-from glenrock.net.instance import Entry, Execution, Instances
-from glenrock.net.lines import Splitter
-from glenrock.net.name_table import Answer as DiscoveryAnswer
+from glenrock.net.endpoint_watcher import HttpAnswer as DiscoveryAnswer
+from glenrock.net.metrics import ConnectionMetrics
+from glenrock.net.protocol import LineSplitter
+from glenrock.net.server_connections import ConnectionAttempt, EndpointRow, ServerRegistry
 
 
 class Ends:
@@ -41,8 +41,8 @@
             "discovery": f"127.0.0.1:{mute.getsockname()[1]}",
             "known": {"index": 1, "snapshot": True, "endpoints": [row]}}), Clock())
         await self.program.start()
-        self.port = self.program.entrance.listener.getsockname()[1]
-        self.counts, self.commands = self.program.server.counts, self.program.server.commands
+        self.port = self.program.acceptor.listener.getsockname()[1]
+        self.counts, self.commands = self.program.connections.metrics, self.program.connections.by_id
 
     async def instance(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         line = (await reader.readline()).decode()
@@ -90,10 +90,10 @@
 
     async def quiet(self) -> None:
         for _ in range(300):
-            if not self.commands and not self.program.entrance.tasks:
+            if not self.commands and not self.program.acceptor.tasks:
                 return
             await asyncio.sleep(0.01)
-        raise AssertionError(f"left: {list(self.commands)}, {len(self.program.entrance.tasks)} connections")
+        raise AssertionError(f"left: {list(self.commands)}, {len(self.program.acceptor.tasks)} connections")
 
 
 WANT = {"up": ("fulfilled",), "busy": ("throttled",), "err": ("faulted", "throttled"), "early": ("faulted",),
@@ -115,7 +115,7 @@
     assert sum(got.values()) == len(script), (got, Counter(script))
     sure = Counter(WANT[how][0] for how in script if len(WANT[how]) == 1)
     assert all(got[outcome] >= count for outcome, count in sure.items()), (got, Counter(script))
-    assert site.program.server.open() == 0 and not site.program.decider.balancer.requests
+    assert site.program.connections.count_open() == 0 and not site.program.routing.balancer.requests
     gc.collect()
     for _ in range(100):  # ends of the stand-in's own connections are seen in later turns
         if len(os.listdir("/proc/self/fd")) <= descriptors and len(asyncio.all_tasks()) <= tasks:
@@ -147,7 +147,7 @@
         writer.close()
         assert len(listener.open) <= MOST + 1
     assert await asyncio.wait_for(mute[0][0].read(), 1) == b""  # the oldest made room
-    assert site.program.server.kept >= MOST
+    assert site.program.connections.reserved >= MOST
 
 
 def test_callers_that_say_nothing_cost_few_descriptors_and_delay_nobody() -> None:
@@ -159,7 +159,7 @@
 def test_lines_cut_anywhere_are_the_same_lines(whole: list[bytes], rest: bytes, data: st.DataObject) -> None:
     rest = rest.replace(b"\n", b"")
     stream = b"".join(line + b"\n" for line in whole) + rest
-    splitter, got, at = Splitter(), [], 0
+    splitter, got, at = LineSplitter(), [], 0
     while at < len(stream):
         n = data.draw(st.integers(1, len(stream) - at))
         got += splitter.feed(stream[at:at + n])
@@ -178,7 +178,7 @@
         assert answer.whole and answer.keep and bytes(answer.body) == body
 
 
-async def held(turns: int) -> tuple[End, bytes]:
+async def held(turns: int) -> tuple[AttemptEnd, bytes]:
     """An execution whose instance is taken out so many turns of the loop after it was queued; what reached it."""
     got = bytearray()
 
@@ -187,14 +187,15 @@
         writer.close()
 
     server = await asyncio.start_server(instance, "127.0.0.1", 0)
-    instances = Instances(Clock(), 250, lambda e: True, Counts(["look"]))
-    instances.update("full", [Entry("s1", server.sockets[0].getsockname(), "SERVING")])
+    instances = ServerRegistry(Clock(), 250, lambda e: True, ConnectionMetrics(["look"]))
+    instances.update("full", [EndpointRow("s1", server.sockets[0].getsockname(), "SERVING")])
     done = asyncio.get_running_loop().create_future()
-    instances.get("s1").mailbox.put(Execution(b"OPEN 1 1 c=look,d=900\r\n", 900, lambda x, end: done.set_result(end)))
+    attempt = ConnectionAttempt(b"OPEN 1 1 c=look,d=900\r\n", 900, lambda x, end: done.set_result(end))
+    instances.get("s1").mailbox.put(attempt)
     for _ in range(turns):
         await asyncio.sleep(0)
     instances.hold("s1", True)
-    instances.update("changes", [Entry("s1", server.sockets[0].getsockname(), "SERVING")])
+    instances.update("changes", [EndpointRow("s1", server.sockets[0].getsockname(), "SERVING")])
     outcome = await asyncio.wait_for(done, 2)
     await asyncio.sleep(0.02)
     server.close()
@@ -203,4 +204,4 @@
 
 @pytest.mark.parametrize("turns", [0, 1, 2])
 def test_nothing_queued_or_dialled_starts_at_one_that_is_out(turns: int) -> None:
-    assert uvloop.run(held(turns)) == (End.NOT_SENT, b"")
+    assert uvloop.run(held(turns)) == (AttemptEnd.NOT_SENT, b"")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -98,7 +98,7 @@
             await self.expect("discovery", "GET /discovery/hosts HTTP/1.1")
             self.answer({**known, "index": 2})
         await starting
-        self.port = self.program.entrance.listener.getsockname()[1]
+        self.port = self.program.acceptor.listener.getsockname()[1]
 
     async def end(self, who: str) -> Ends:
         if who not in self.ends:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -18,7 +18,6 @@
 }
 # Circles that are still there; the list only shrinks.
 KNOWN_CIRCLES = {
-    frozenset({"net.command", "net.command_server"}),
     frozenset({"lab.day", "lab.day_attempts", "lab.day_clients", "lab.day_processes", "lab.faults", "lab.shards",
                "lab.policies", "lab.policies.oracle"}),
     frozenset({"lab.model.balancer", "lab.model.client", "lab.model.instance"}),
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -9,13 +9,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenrock.net.pace import Pace
+from glenrock.net.poll_backoff import PollBackoff
 
 SERVICE_MS, PATIENCE_MS, LINE = 300.0, 2000.0, 20
 DAY_MS = 60_000.0
 
 
-def unheard(paces: list[Pace], service_ms: float = SERVICE_MS, day_ms: float = DAY_MS, known: bool = True,
+def unheard(paces: list[PollBackoff], service_ms: float = SERVICE_MS, day_ms: float = DAY_MS, known: bool = True,
             line: int = LINE) -> int:
     """How many never hear, where a call that waited too long is turned away and takes its turn all the same."""
     calls = [(p.first(known), n) for n, p in enumerate(paces)]
@@ -36,7 +36,7 @@
     return len(paces) - len(heard)
 
 
-class Hasty(Pace):
+class Hasty(PollBackoff):
     """Each for itself: at once, and again within a second."""
 
     def first(self, known: bool = True) -> float:
@@ -49,12 +49,12 @@
 @pytest.mark.parametrize("seed", range(20))
 @pytest.mark.parametrize("balancers", [3, 40])
 def test_all_are_heard(balancers: int, seed: int) -> None:
-    assert unheard([Pace(balancers, True, random.Random(seed * 100 + n)) for n in range(balancers)]) == 0
+    assert unheard([PollBackoff(balancers, True, random.Random(seed * 100 + n)) for n in range(balancers)]) == 0
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_all_are_heard_though_all_had_to_ask_at_once(seed: int) -> None:
-    paces = [Pace(40, True, random.Random(seed * 100 + n)) for n in range(40)]
+    paces = [PollBackoff(40, True, random.Random(seed * 100 + n)) for n in range(40)]
     for p in paces:
         p.first = lambda known: 0.0  # no list is known
     assert unheard(paces) == 0
@@ -69,22 +69,22 @@
     (3, 300, 3), (200, 5, 200), (200, 20, 200), (200, 100, 200), (200, 300, 120), (300, 100, 295), (1000, 20, 1000)])
 def test_a_tier_of_hundreds_is_heard_whatever_a_call_takes(balancers, service_ms, heard, known) -> None:
     """Nobody is told at once that the line is long: a call waits its 2 s, and is paid for all the same."""
-    paces = [Pace(balancers, True, random.Random(n)) for n in range(balancers)]
+    paces = [PollBackoff(balancers, True, random.Random(n)) for n in range(balancers)]
     assert balancers - unheard(paces, service_ms, 300_000.0, known, 10**6) >= heard
 
 
 def test_without_a_list_a_small_tier_asks_at_once_and_a_large_one_within_seconds() -> None:
-    assert Pace(8, True, random.Random(1)).first(known=False) == 0
-    assert 0 < max(Pace(200, True, random.Random(n)).first(known=False) for n in range(50)) < 2000
+    assert PollBackoff(8, True, random.Random(1)).first(known=False) == 0
+    assert 0 < max(PollBackoff(200, True, random.Random(n)).first(known=False) for n in range(50)) < 2000
 
 
 def test_nobody_waits_where_the_list_is_pushed_or_alone() -> None:
-    assert Pace(40, False, random.Random(1)).first() == 0
-    assert Pace(1, True, random.Random(1)).first() == 0
+    assert PollBackoff(40, False, random.Random(1)).first() == 0
+    assert PollBackoff(1, True, random.Random(1)).first() == 0
 
 
 def test_refusals_grow_the_pause_and_an_answer_ends_that() -> None:
-    p = Pace(4, False, random.Random(1))
+    p = PollBackoff(4, False, random.Random(1))
     p.draw.random = lambda: 1.0
     assert [p.overbooked() for _ in range(8)] == [1000, 3000, 9000, 20000, 20000, 20000, 20000, 20000]
     p.heard()
@@ -95,17 +95,18 @@
 def test_a_pushed_list_is_heard_again_within_the_grace_whatever_became_of_the_watch(grace: float, seed: int) -> None:
     """What the agent has counts from the first moment; a watch that fell silent just then is waited for in vain. So is
     a call that falls into the agent's last silent moment, however many have failed before it."""
-    pace = Pace(200, False, random.Random(seed), grace)
-    assert pace.wait + pace.grace + pace.retry(1) < grace
-    assert max(pace.grace + pace.retry(n) for n in range(1, 20)) < grace
+    pace = PollBackoff(200, False, random.Random(seed), grace)
+    assert pace.watch_ms + pace.grace_ms + pace.retry(1) < grace
+    assert max(pace.grace_ms + pace.retry(n) for n in range(1, 20)) < grace
 
 
 @given(st.floats(300.0, 20_000.0), st.integers(0, 2**32))
 def test_a_list_that_is_asked_for_is_asked_anew_within_the_grace(grace: float, seed: int) -> None:
     """What a silent watch missed counts 2 s after its wait; half of the grace is left for the new call's answer."""
-    pace = Pace(4, True, random.Random(seed), grace)
-    assert pace.grace + pace.retry(1) - 2000.0 <= max(grace / 2, grace / 4 + 100)
+    pace = PollBackoff(4, True, random.Random(seed), grace)
+    assert pace.grace_ms + pace.retry(1) - 2000.0 <= max(grace / 2, grace / 4 + 100)
 
 
 def test_a_list_that_is_asked_for_is_left_its_line() -> None:
-    assert (Pace(4, True, random.Random(1)).wait, Pace(4, True, random.Random(1)).grace) == (10_000.0, 2500.0)
+    pace = PollBackoff(4, True, random.Random(1))
+    assert (pace.watch_ms, pace.grace_ms) == (10_000.0, 2500.0)
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -100,22 +100,22 @@
     data = (RECORDED / "handover.json").read_bytes()
     taken: list[tuple[str, socket.socket]] = []
 
-    class Takes(handover.Command):
+    class Takes(handover.ClientConnection):
         def take_over(self, name: str, sock: socket.socket) -> None:
             taken.append((name, sock))
 
-    known = handover.lines.Known({"look": 1000.0})
+    known = handover.protocol.KnownNames({"look": 1000.0})
     clock = SimpleNamespace(now=lambda: 0.0)
-    server = SimpleNamespace(known=known, knows=lambda id_: False, full=lambda: False, decider=None, clock=clock)
+    server = SimpleNamespace(known=known, knows=lambda id_: False, full=lambda: False, routing=None, clock=clock)
     with pytest.MonkeyPatch.context() as patch, socket.create_server(("127.0.0.1", 0)) as listener:
-        patch.setattr(handover, "Command", Takes)
+        patch.setattr(handover, "ClientConnection", Takes)
         client = socket.create_connection(listener.getsockname())
         backend = socket.create_connection(listener.getsockname())
         with client, backend:
             found = handover.relay_of(data, server, client, backend)
     assert taken == [("127.0.0.1:9001", backend)]
     assert (found.opened.id, found.opened.group, found.load) == ("50", 255, 52000)
-    assert (found.splitter.part, found.last_word, found.asked_at) == (b"HALF A", "ACTIVE", None)
+    assert (found.gate.splitter.part, found.last_word, found.asked_at) == (b"HALF A", "ACTIVE", None)
 
 
 def test_datagrams_are_read_and_written_in_the_same_form() -> None:
