--- a/benchmarks/engines.py
+++ b/benchmarks/engines.py
@@ -27,6 +27,7 @@
         def fire(_) -> None:
             self.events += 1
             call(*given)
+
         simpy.Timeout(self.env, max(0, time_us - self.env.now)).callbacks.append(fire)
 
     def run(self, until_us: int) -> None:
@@ -41,6 +42,7 @@
         while left[0] > 0:
             left[0] -= 1
             yield env.timeout(draw.randrange(1, 1000))
+
     for _ in range(CHAINS):
         env.process(chain())
     begun = time.process_time()
@@ -55,10 +57,11 @@
         left[0] -= 1
         if left[0] > 0:
             engine.at(engine.now + draw.randrange(1, 1000), step)
+
     for _ in range(CHAINS):
         engine.at(draw.randrange(1, 1000), step)
     begun = time.process_time()
-    engine.run(10 ** 9)
+    engine.run(10**9)
     return EVENTS / (time.process_time() - begun)
 
 
--- a/benchmarks/findings.py
+++ b/benchmarks/findings.py
@@ -1,6 +1,6 @@
 """The tables and plots of docs/notes/lab.md, from the sweeps in a folder; `--play` plays them first.
 
-    python benchmarks/findings.py --play out/findings
+python benchmarks/findings.py --play out/findings
 """
 
 from __future__ import annotations
@@ -15,8 +15,20 @@
 from glenrock.lab.report import curves
 
 ROOT = Path(__file__).resolve().parent.parent
-DAYS = ("site-day", "site-busy", "crash-quarter", "zone-cut", "rolling-restart", "mass-reconnect", "flash-crowd",
-        "slow-tenth", "discovery-silent", "deploy-wave", "tenant-flood", "overlap")
+DAYS = (
+    "site-day",
+    "site-busy",
+    "crash-quarter",
+    "zone-cut",
+    "rolling-restart",
+    "mass-reconnect",
+    "flash-crowd",
+    "slow-tenth",
+    "discovery-silent",
+    "deploy-wave",
+    "tenant-flood",
+    "overlap",
+)
 SCALES = {"scale-balancers": "fleet.balancers", "scale-instances": "fleet.instances"}
 SHOWN = ("glenrock", "random", "two_choices", "prequal")
 
@@ -25,17 +37,35 @@
     for name in (*DAYS, *SCALES):
         which = POLICIES if name in DAYS else SHOWN
         given = [x for p in which for x in ("--policy", p)]
-        subprocess.run([sys.executable, "-c", "from glenrock.cli import main; main()", "lab", "sweep",
-                        f"experiments/{name}.toml", "--seeds", "12" if name in DAYS else "2", "--resume",
-                        "--out", str(into / name), *given], check=True, cwd=ROOT)
+        subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "from glenrock.cli import main; main()",
+                "lab",
+                "sweep",
+                f"experiments/{name}.toml",
+                "--seeds",
+                "12" if name in DAYS else "2",
+                "--resume",
+                "--out",
+                str(into / name),
+                *given,
+            ],
+            check=True,
+            cwd=ROOT,
+        )
 
 
 def main() -> None:
     into = Path(sys.argv[-1])
     if "--play" in sys.argv:
         play(into)
-    found = {name: json.loads((into / name / "sweep.json").read_text())["rows"]
-             for name in (*DAYS, *SCALES) if (into / name / "sweep.json").exists()}
+    found = {
+        name: json.loads((into / name / "sweep.json").read_text())["rows"]
+        for name in (*DAYS, *SCALES)
+        if (into / name / "sweep.json").exists()
+    }
     policies = list(POLICIES)
     bars: dict[str, list[tuple[float, float, float]]] = {p: [] for p in policies}
     print("| day | " + " | ".join(policies) + " |\n| --- |" + " --- |" * len(policies))
@@ -55,8 +85,14 @@
         if name not in found:
             continue
         print()
-        for measure in ("worth.goal", "worth.worst_window", "per_client.attempts", "clock.cpu_us_per_event",
-                        "clock.balancer_bytes", "rules_broken"):
+        for measure in (
+            "worth.goal",
+            "worth.worst_window",
+            "per_client.attempts",
+            "clock.cpu_us_per_event",
+            "clock.balancer_bytes",
+            "rules_broken",
+        ):
             lines = curves(found[name], axis, measure)
             for policy, points in lines.items():
                 if policy in SHOWN:
--- a/benchmarks/relay_reads.py
+++ b/benchmarks/relay_reads.py
@@ -41,8 +41,10 @@
 
 
 def main() -> None:
-    ways = {"sock_recv_into": lambda loop: loop.sock_recv_into,
-            "readiness.recv_into": lambda loop: lambda sock, buffer: recv_into(loop, sock, buffer)}
+    ways = {
+        "sock_recv_into": lambda loop: loop.sock_recv_into,
+        "readiness.recv_into": lambda loop: lambda sock, buffer: recv_into(loop, sock, buffer),
+    }
     for n in range(ROUNDS):
         print(n, "  ".join(f"{name} {uvloop.run(trips(way)):.1f} us" for name, way in ways.items()))
 
--- a/benchmarks/ring_lists.py
+++ b/benchmarks/ring_lists.py
@@ -23,8 +23,10 @@
 
 
 def as_a_list(names: list[str]) -> float:
-    balancer = Balancer(interface.Settings(classes=(interface.RequestClass("r", 300_000, 1_000_000),), zone="a",
-                                    cross_zone_cost=0.02), 1)
+    balancer = Balancer(
+        interface.Settings(classes=(interface.RequestClass("r", 300_000, 1_000_000),), zone="a", cross_zone_cost=0.02),
+        1,
+    )
     rows = tuple(interface.Endpoint(n, "ready", "ab"[k % 2]) for k, n in enumerate(names))
     told = interface.EndpointList("full", rows)
     begun = time.process_time()
--- a/glenrock/cli/demo.py
+++ b/glenrock/cli/demo.py
@@ -27,5 +27,7 @@
         raise Failed(f"{file} is missing: the demo runs from a checkout")
     summary = play(spec.load(file), 1, out, live)
     c = summary["counts"]
-    click.echo(f"{c['set_up']} connections were set up, {c['moved']} moved, {c['broken']} lost to the faults; "
-               "every other request got its one answer in time")
+    click.echo(
+        f"{c['set_up']} connections were set up, {c['moved']} moved, {c['broken']} lost to the faults; "
+        "every other request got its one answer in time"
+    )
--- a/glenrock/cli/fleet.py
+++ b/glenrock/cli/fleet.py
@@ -4,8 +4,9 @@
 
 from .main import Lazy
 
-command = Lazy("glenrock.cli", {"jobs": "fleet_jobs", "owner": "fleet_owner", "history": "fleet_history",
-                                "start-report": "fleet_start"},
-               name="fleet", help=(
-    "Who owns what, since when, on which term, and what was refused.\n\n"
-    "Page: docs/fleet.md"))
+command = Lazy(
+    "glenrock.cli",
+    {"jobs": "fleet_jobs", "owner": "fleet_owner", "history": "fleet_history", "start-report": "fleet_start"},
+    name="fleet",
+    help=("Who owns what, since when, on which term, and what was refused.\n\nPage: docs/fleet.md"),
+)
--- a/glenrock/cli/fleet_ask.py
+++ b/glenrock/cli/fleet_ask.py
@@ -21,8 +21,13 @@
 T = TypeVar("T")
 PATIENCE_S = 5.0
 
-file = click.option("--file", type=click.Path(path_type=Path), envvar="LB_FLEET", required=True,
-                    help="The operator's file; LB_FLEET where it is not given.")
+file = click.option(
+    "--file",
+    type=click.Path(path_type=Path),
+    envvar="LB_FLEET",
+    required=True,
+    help="The operator's file; LB_FLEET where it is not given.",
+)
 
 
 def asked(path: Path, work: Callable[[LeaseStore], Awaitable[T]]) -> T:
--- a/glenrock/cli/fleet_start.py
+++ b/glenrock/cli/fleet_start.py
@@ -9,8 +9,7 @@
 
 
 @click.command("start-report")
-@click.option("--at", multiple=True, required=True,
-              help="A balancer's operators' address, host:port. Repeatable.")
+@click.option("--at", multiple=True, required=True, help="A balancer's operators' address, host:port. Repeatable.")
 def command(at: tuple[str, ...]) -> None:
     """When each balancer was ready, had heard the list and served, and what that cost in calls.
 
--- a/glenrock/cli/lab.py
+++ b/glenrock/cli/lab.py
@@ -4,7 +4,9 @@
 
 from .main import Lazy
 
-command = Lazy("glenrock.cli", {"run": "lab_run", "sweep": "lab_sweep", "compare": "lab_compare",
-                                "report": "lab_report", "list": "lab_list"}, name="lab", help=(
-    "Emulate the fleet in simulated time: run, sweep, compare, report, list.\n\n"
-    "Page: docs/lab.md"))
+command = Lazy(
+    "glenrock.cli",
+    {"run": "lab_run", "sweep": "lab_sweep", "compare": "lab_compare", "report": "lab_report", "list": "lab_list"},
+    name="lab",
+    help=("Emulate the fleet in simulated time: run, sweep, compare, report, list.\n\nPage: docs/lab.md"),
+)
--- a/glenrock/cli/lab_compare.py
+++ b/glenrock/cli/lab_compare.py
@@ -57,8 +57,10 @@
     names = (a, b)
     found = report.compared(left, right, names)
     for r in found["rows"]:
-        click.echo(f"{r['measure']:24} {r['a']:10.4f} {r['b']:10.4f}  {r['difference']:+.4f} "
-                   f"[{r['low']:+.4f}, {r['high']:+.4f}]  higher {r['wins']} lower {r['losses']}  p {r['p']:.3f}")
+        click.echo(
+            f"{r['measure']:24} {r['a']:10.4f} {r['b']:10.4f}  {r['difference']:+.4f} "
+            f"[{r['low']:+.4f}, {r['high']:+.4f}]  higher {r['wins']} lower {r['losses']}  p {r['p']:.3f}"
+        )
     if out:
         points = [s for s in found["seeds"] if s["a"] is not None and s["b"] is not None]
         rows = {name: [(s[side],) * 3 for s in points] for name, side in ((a, "a"), (b, "b"))}
@@ -67,7 +69,8 @@
         def fill(beside: Path) -> None:
             (beside / "compare.json").write_text(record.text_of(json.loads(json.dumps(found))), encoding="utf-8")
             (beside / "report.html").write_text(
-                report.page("compare.html", s=found, image=plots.address(image)), encoding="utf-8")
+                report.page("compare.html", s=found, image=plots.address(image)), encoding="utf-8"
+            )
 
         record.folder(out, fill)
         click.echo(f"results: {out}/compare.json, report.html")
--- a/glenrock/cli/lab_options.py
+++ b/glenrock/cli/lab_options.py
@@ -15,11 +15,13 @@
 policy = click.option("--policy", default="glenrock", show_default=True, help="What is driven; see `lab list`.")
 policies = click.option("--policy", "policies", multiple=True, help="What is driven; may be given more than once.")
 out = click.option("--out", type=click.Path(path_type=Path), help="The folder of the results.")
-jobs = click.option("--jobs", type=click.IntRange(1), default=os.cpu_count() or 1, show_default="cores",
-                    help="Parallel processes.")
+jobs = click.option(
+    "--jobs", type=click.IntRange(1), default=os.cpu_count() or 1, show_default="cores", help="Parallel processes."
+)
 seeds = click.option("--seeds", default="10", show_default=True, help="How many seeds, or a range such as 5-24.")
-settings = click.option("--set", "over", multiple=True, metavar="KEY=VALUE",
-                        help="Replace a value of the file: --set traffic.load=0.6")
+settings = click.option(
+    "--set", "over", multiple=True, metavar="KEY=VALUE", help="Replace a value of the file: --set traffic.load=0.6"
+)
 
 
 def known_policy(name: str) -> str:
--- a/glenrock/cli/lab_run.py
+++ b/glenrock/cli/lab_run.py
@@ -52,16 +52,22 @@
 
 def tell(s: dict) -> None:
     fleet, worth, clock = s["fleet"], s["worth"], s["clock"]
-    click.echo(f"{s['experiment']}, seed {s['seed']}, {s['policy']}: {fleet['balancers']} balancers, "
-               f"{fleet['instances']} instances, {s['counts']['clients']} clients, {s['events']} events, "
-               f"{clock['wall_s']} s")
+    click.echo(
+        f"{s['experiment']}, seed {s['seed']}, {s['policy']}: {fleet['balancers']} balancers, "
+        f"{fleet['instances']} instances, {s['counts']['clients']} clients, {s['events']} events, "
+        f"{clock['wall_s']} s"
+    )
     if worth:
-        click.echo(f"worth: goal {worth['goal']:.3f}, whole {worth['whole']:.3f}, worst 10 s "
-                   f"{worth['worst_window']:.3f}, worst class {worth['worst_class']:.3f}, "
-                   f"worst tenant {worth['worst_tenant']:.3f}")
+        click.echo(
+            f"worth: goal {worth['goal']:.3f}, whole {worth['whole']:.3f}, worst 10 s "
+            f"{worth['worst_window']:.3f}, worst class {worth['worst_class']:.3f}, "
+            f"worst tenant {worth['worst_tenant']:.3f}"
+        )
     each = s["per_client"]
-    click.echo(f"a client: {each['attempts']:.2f} attempts, {each['refused']:.2f} refusals, "
-               f"{each['broken']:.2f} breaks, {each['moved']:.2f} moves, {each['probes']:.2f} probes")
+    click.echo(
+        f"a client: {each['attempts']:.2f} attempts, {each['refused']:.2f} refusals, "
+        f"{each['broken']:.2f} breaks, {each['moved']:.2f} moves, {each['probes']:.2f} probes"
+    )
     for f in s["recovery_s"]:
         back = "not back" if f["recovery_s"] is None else f"back after {f['recovery_s']} s"
         lowest = "-" if f["lowest"] is None else f"{f['lowest']:.2f}"
--- a/glenrock/cli/lab_sweep.py
+++ b/glenrock/cli/lab_sweep.py
@@ -22,8 +22,14 @@
 
     found: list[dict[str, Any]] = []
     try:
-        with Progress(TextColumn("runs"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn(),
-                      console=Console(stderr=True), transient=True) as progress:
+        with Progress(
+            TextColumn("runs"),
+            BarColumn(),
+            MofNCompleteColumn(),
+            TimeRemainingColumn(),
+            console=Console(stderr=True),
+            transient=True,
+        ) as progress:
             bar = progress.add_task("", total=len(todo))
             # Closed here, not when it is collected: Ctrl-C may come while the generator waits for its caller,
             # and the pool would play all that is left before the process ends.
@@ -42,16 +48,24 @@
 
     measures = list(report.MEASURES)
     failures = sorted({s["failure"] for s in found if s["failure"]})
-    sweep = {"format": 1, "experiment": name, "axes": axes, "seeds": seeds, "runs": len(found),
-             "failed": sum(bool(s["failure"]) for s in found), "failures": failures,
-             "rows": report.table_of(found, measures)}
+    sweep = {
+        "format": 1,
+        "experiment": name,
+        "axes": axes,
+        "seeds": seeds,
+        "runs": len(found),
+        "failed": sum(bool(s["failure"]) for s in found),
+        "failures": failures,
+        "rows": report.table_of(found, measures),
+    }
     lines = into / ".sweep.csv"
     with open(lines, "w", newline="", encoding="utf-8") as f:
         table = csv.writer(f)
         table.writerow([*axes, "policy", "seed", *measures])
         for s in found:
-            table.writerow([*(s["where"][a] for a in axes), s["policy"], s["seed"],
-                            *(report.value(s, m) for m in measures)])
+            table.writerow(
+                [*(s["where"][a] for a in axes), s["policy"], s["seed"], *(report.value(s, m) for m in measures)]
+            )
     lines.replace(into / "sweep.csv")
     record.file(into / "sweep.json", record.text_of(sweep))
     record.file(into / "report.html", report.of_sweep(sweep))
@@ -66,8 +80,9 @@
 @options.out
 @click.option("--resume", is_flag=True, help="Go on with what an earlier call left in the folder.")
 @options.settings
-def command(file: Path, seeds: str, policies: tuple[str, ...], jobs: int, out: Path | None, resume: bool,
-            over: tuple[str, ...]) -> None:
+def command(
+    file: Path, seeds: str, policies: tuple[str, ...], jobs: int, out: Path | None, resume: bool, over: tuple[str, ...]
+) -> None:
     """Play every point of the file's [sweep] under every seed and policy; plot each measure against each axis.
 
     \b
--- a/glenrock/cli/main.py
+++ b/glenrock/cli/main.py
@@ -35,9 +35,14 @@
 
 
 COMMANDS = {"serve": "serve", "check": "check", "lab": "lab", "stage": "stage", "fleet": "fleet", "demo": "demo"}
-ROOT = Lazy("glenrock.cli", COMMANDS, name="glenrock", help=(
-    "A balancer for long-lived connections, and the tools around it.\n\n"
-    "Exit codes: 0 done, 1 failed, 2 bad input."))
+ROOT = Lazy(
+    "glenrock.cli",
+    COMMANDS,
+    name="glenrock",
+    help=(
+        "A balancer for long-lived connections, and the tools around it.\n\nExit codes: 0 done, 1 failed, 2 bad input."
+    ),
+)
 
 
 def main(given: Sequence[str] | None = None) -> None:
--- a/glenrock/cli/stage.py
+++ b/glenrock/cli/stage.py
@@ -4,6 +4,9 @@
 
 from .main import Lazy
 
-command = Lazy("glenrock.cli", {"run": "stage_run"}, name="stage", help=(
-    "Start processes of the program on loopback, strike them, and judge what came of it.\n\n"
-    "Page: docs/stage.md"))
+command = Lazy(
+    "glenrock.cli",
+    {"run": "stage_run"},
+    name="stage",
+    help=("Start processes of the program on loopback, strike them, and judge what came of it.\n\nPage: docs/stage.md"),
+)
--- a/glenrock/cli/stage_live.py
+++ b/glenrock/cli/stage_live.py
@@ -17,8 +17,9 @@
     """`shown` None: only where standard output is a terminal."""
 
     def __init__(self, shown: bool | None) -> None:
-        self.screen = Screen(console=Console(), auto_refresh=False) if (
-            sys.stdout.isatty() if shown is None else shown) else None
+        self.screen = (
+            Screen(console=Console(), auto_refresh=False) if (sys.stdout.isatty() if shown is None else shown) else None
+        )
 
     def __enter__(self) -> Live:
         if self.screen:
@@ -45,7 +46,9 @@
         held = sum(a.balancer == b.number for s in stage.instances for a in s.open_now)
         said = next((e.data["text"] for e in reversed(stage.history.events) if e.what == "log" and e.who == b.name), "")
         out.add_row(b.name, state, str(held), str(b.lives), said[:60])
-    loads = " ".join(f"{s.model.demand / max(1e-9, s.model.capacity(stage.engine.now)):.2f}" if s.model.up else "-"
-                     for s in stage.instances)
-    out.caption = (f"{stage.clients.standing()} clients stand, {stage.clients.waiting()} wait; loads {loads}")
+    loads = " ".join(
+        f"{s.model.demand / max(1e-9, s.model.capacity(stage.engine.now)):.2f}" if s.model.up else "-"
+        for s in stage.instances
+    )
+    out.caption = f"{stage.clients.standing()} clients stand, {stage.clients.waiting()} wait; loads {loads}"
     return out
--- a/glenrock/cli/stage_run.py
+++ b/glenrock/cli/stage_run.py
@@ -76,12 +76,18 @@
 
 def tell(s: dict[str, Any]) -> None:
     fleet, worth, c = s["fleet"], s["worth"], s["counts"]
-    click.echo(f"{s['experiment']}, seed {s['seed']}: {fleet['balancers']} balancers, {fleet['instances']} instances, "
-               f"{c['clients']} clients, {c['tries']} tries, {s['clock']['wall_s']} s")
+    click.echo(
+        f"{s['experiment']}, seed {s['seed']}: {fleet['balancers']} balancers, {fleet['instances']} instances, "
+        f"{c['clients']} clients, {c['tries']} tries, {s['clock']['wall_s']} s"
+    )
     click.echo(f"worth: goal {worth['goal']:.3f}, whole {worth['whole']:.3f}, worst 10 s {worth['worst_window']:.3f}")
     for f in s["recovery_s"]:
         back = "not back" if f["recovery_s"] is None else f"back after {f['recovery_s']} s"
         lowest = "-" if f["lowest"] is None else f"{f['lowest']:.2f}"
         click.echo(f"{f['kind']} at {f['from_s']:.1f} s: lowest {lowest}, {back}")
-    click.echo("rules: " + ", ".join(
-        f"{k} {v} of {s['seen'].get(k, 0)} ({s['excused'].get(k, 0)} by faults)" for k, v in s["rules"].items()))
+    click.echo(
+        "rules: "
+        + ", ".join(
+            f"{k} {v} of {s['seen'].get(k, 0)} ({s['excused'].get(k, 0)} by faults)" for k, v in s["rules"].items()
+        )
+    )
--- a/glenrock/lab/day.py
+++ b/glenrock/lab/day.py
@@ -47,9 +47,15 @@
 class Day(Clients, Attempts, Processes):
     """The world of one run. Its three parts stand in modules of their own."""
 
-    def __init__(self, e: Experiment, seed: int, policy: str = "glenrock", *,
-                 make: Callable[[interface.Settings, int], Decisions] | None = None,
-                 engine: Engine | None = None) -> None:
+    def __init__(
+        self,
+        e: Experiment,
+        seed: int,
+        policy: str = "glenrock",
+        *,
+        make: Callable[[interface.Settings, int], Decisions] | None = None,
+        engine: Engine | None = None,
+    ) -> None:
         self.e = e = drawn(e, seed)
         self.seed, self.policy = seed, policy
         self.streams = streams = Streams(seed)
@@ -82,8 +88,9 @@
         self.instances: dict[str, Instance] = {}
         for n, shape in enumerate(shapes):
             name = f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}:7000"
-            i = self.instances[name] = Instance(name, n, shape, figures, self.instance_says, self.engine,
-                                                self.measure.earn, n // CELL)
+            i = self.instances[name] = Instance(
+                name, n, shape, figures, self.instance_says, self.engine, self.measure.earn, n // CELL
+            )
             i.last = self.begin_us
         self.slow_told: set[tuple[str, int]] = set()
         maker = make or policies.make(policy)
@@ -97,8 +104,10 @@
                 made.see(self, self.hosts[index])
             return made
 
-        self.hosts = [Host(n, n % len(self.zones), self.engine, self, max(1, round(e.platform.tick_ms * 1000)), build)
-                      for n in range(int(e.fleet.balancers))]
+        self.hosts = [
+            Host(n, n % len(self.zones), self.engine, self, max(1, round(e.platform.tick_ms * 1000)), build)
+            for n in range(int(e.fleet.balancers))
+        ]
         self.front = Front(e.front, self.hosts, len(self.zones), self.engine, streams)
         self.feed = Feed(e.discovery, self.hosts, self.engine, streams)
         self.faults: list[dict[str, Any]] = []
@@ -128,8 +137,9 @@
 
     def prepare(self) -> None:
         e, now = self.e, self.begin_us
-        self.feed.begin([interface.Endpoint(i.name, "ready", self.zones[i.shape.zone], i.cell)
-                         for i in self.instances.values()])
+        self.feed.begin(
+            [interface.Endpoint(i.name, "ready", self.zones[i.shape.zone], i.cell) for i in self.instances.values()]
+        )
         rows = tuple(self.feed.rows.values())
         for host in self.hosts:
             host.begin(interface.EndpointList("remembered", rows))
@@ -139,8 +149,13 @@
         self.next_row(waiting)
         for n, f in enumerate(e.faults):
             at = now + round(float(f.at_s) * S)
-            self.faults.append({"kind": type(f).__struct_config__.tag, "from_s": rounded(float(f.at_s)),
-                                "to_s": rounded(min(float(e.length_s), float(f.at_s) + faults.lasts_s(f)))})
+            self.faults.append(
+                {
+                    "kind": type(f).__struct_config__.tag,
+                    "from_s": rounded(float(f.at_s)),
+                    "to_s": rounded(min(float(e.length_s), float(f.at_s) + faults.lasts_s(f))),
+                }
+            )
             self.engine.at(at, faults.FAULTS[type(f)], self, f, self.streams.of(f"fault {n}"))
         if self.shards:
             self.shards.begin()
@@ -165,8 +180,9 @@
             host = self.front.pick(row.zone)
             if not host:
                 continue
-            f = client.flow = Flow(f"{row.number}.1", client, host, self.engine.now, self.engine.now,
-                                   answered=True, end="up")
+            f = client.flow = Flow(
+                f"{row.number}.1", client, host, self.engine.now, self.engine.now, answered=True, end="up"
+            )
             a = Attempt(f, 0, i, self.engine.now, up=True)
             f.attempts.append(a)
             f.standing = a
@@ -211,11 +227,18 @@
         if n < m.seconds:
             caps = [g for h in self.hosts if h.up and (g := module.gauges(h.decisions))]
             known = [cap for cap, _ in caps if cap != float("inf")]
-            m.put(n, load=load / self.plan.capacity, standing=float(len(self.standing)),
-                  cap=sum(known) / len(known) / self.plan.capacity if known else float("nan"),
-                  line=sum(line for _, line in caps), refused=float(m.counts["refused"]),
-                  attempts=float(m.counts["attempts"]), broken=float(m.counts["broken"]),
-                  up=float(sum(i.up for i in self.instances.values())), balancers=float(sum(h.up for h in self.hosts)))
+            m.put(
+                n,
+                load=load / self.plan.capacity,
+                standing=float(len(self.standing)),
+                cap=sum(known) / len(known) / self.plan.capacity if known else float("nan"),
+                line=sum(line for _, line in caps),
+                refused=float(m.counts["refused"]),
+                attempts=float(m.counts["attempts"]),
+                broken=float(m.counts["broken"]),
+                up=float(sum(i.up for i in self.instances.values())),
+                balancers=float(sum(h.up for h in self.hosts)),
+            )
             if n + 1 < m.seconds:
                 self.engine.at(now + S, self.second, n + 1)
 
@@ -270,25 +293,45 @@
         first = max(1, c["clients"])
         events = self.engine.events
         return {
-            "format": 1, "experiment": self.e.name, "seed": self.seed, "policy": self.policy,
-            "failure": self.failure, "worth": m.worth() if not self.failure else None,
-            "rules": dict(self.judge.counts), "breaches": [asdict(b) for b in self.judge.breaches],
-            "recovery_s": m.recovery(self.faults), "counts": dict(c), "events": events,
-            "per_client": {k: rounded(c[k] / first) for k in (
-                "tries", "attempts", "refused", "failed", "broken", "moved", "probes", "peer_bytes")},
+            "format": 1,
+            "experiment": self.e.name,
+            "seed": self.seed,
+            "policy": self.policy,
+            "failure": self.failure,
+            "worth": m.worth() if not self.failure else None,
+            "rules": dict(self.judge.counts),
+            "breaches": [asdict(b) for b in self.judge.breaches],
+            "recovery_s": m.recovery(self.faults),
+            "counts": dict(c),
+            "events": events,
+            "per_client": {
+                k: rounded(c[k] / first)
+                for k in ("tries", "attempts", "refused", "failed", "broken", "moved", "probes", "peer_bytes")
+            },
             "crossing_part": rounded(ratio(m.crossing_s, m.standing_s) if m.standing_s else 0.0),
-            "fairness": m.fairness(), "setup": {k.name: told(h) for k, h in zip(self.e.classes, m.waits, strict=True)},
-            "messages": told(m.messages), "refusals": told(m.refusals),
-            "fleet": {"balancers": len(self.hosts), "instances": len(self.instances),
-                      "capacity_cores": rounded(self.plan.capacity / S), "clients_per_s": rounded(self.plan.per_s)},
+            "fairness": m.fairness(),
+            "setup": {k.name: told(h) for k, h in zip(self.e.classes, m.waits, strict=True)},
+            "messages": told(m.messages),
+            "refusals": told(m.refusals),
+            "fleet": {
+                "balancers": len(self.hosts),
+                "instances": len(self.instances),
+                "capacity_cores": rounded(self.plan.capacity / S),
+                "clients_per_s": rounded(self.plan.per_s),
+            },
             "events_per_s": round(events / max(1e-9, cpu_s - handle_s)),
             "clock": {
-                "wall_s": round(wall_s, 3), "cpu_s": round(cpu_s, 3), "handle_s": round(handle_s, 3),
-                "handle_part": round(handle_s / max(1e-9, cpu_s), 4), "decided_events": handled,
+                "wall_s": round(wall_s, 3),
+                "cpu_s": round(cpu_s, 3),
+                "handle_s": round(handle_s, 3),
+                "handle_part": round(handle_s / max(1e-9, cpu_s), 4),
+                "decided_events": handled,
                 "cpu_us_per_event": round(handle_s * 1e6 / max(1, handled), 2),
                 "cpu_us_per_client": round(handle_s * 1e6 / first, 2),
                 "requests_per_core_hour": round(c["tries"] / max(1e-9, cpu_s - handle_s) * 3600),
-                "balancer_bytes": deep_size(self.hosts[0].decisions) if self.hosts[0].decisions else 0}}
+                "balancer_bytes": deep_size(self.hosts[0].decisions) if self.hosts[0].decisions else 0,
+            },
+        }
 
 
 def deep_size(x: object) -> int:
--- a/glenrock/lab/day_attempts.py
+++ b/glenrock/lab/day_attempts.py
@@ -179,8 +179,16 @@
         if self.links.open(host.zone, i.shape.zone):
             self.engine.at(now + self.links.way(host.zone, i.shape.zone), self.probed, host, host.life, i, now)
         else:
-            self.engine.at(now + round(float(self.e.reports.probe_timeout_ms) * 1000),
-                           self.probe_back, host, host.life, i, now, "timeout", {})
+            self.engine.at(
+                now + round(float(self.e.reports.probe_timeout_ms) * 1000),
+                self.probe_back,
+                host,
+                host.life,
+                i,
+                now,
+                "timeout",
+                {},
+            )
 
     def probed(self: Day, host: Host, life: int, i: Instance, asked: int) -> None:
         now, r = self.engine.now, self.e.reports
@@ -199,8 +207,9 @@
         due = now + round(took) + back
         self.engine.at(due, self.probe_back, host, life, i, asked, "served", report)
 
-    def probe_back(self: Day, host: Host, life: int, i: Instance, asked: int, verdict: str,
-                   report: dict[str, float]) -> None:
+    def probe_back(
+        self: Day, host: Host, life: int, i: Instance, asked: int, verdict: str, report: dict[str, float]
+    ) -> None:
         if host.life == life and host.up:
             if not self.links.open(host.zone, i.shape.zone):
                 verdict, report = "timeout", {}
--- a/glenrock/lab/day_clients.py
+++ b/glenrock/lab/day_clients.py
@@ -81,9 +81,16 @@
 
     def request(self: Day, f: Flow) -> interface.Request:
         row = f.client.row
-        return interface.Request(f.id, self.e.classes[row.kind].name, f.deadline, row.number, row.group,
-                          self.e.tenants[row.tenant].name, round(row.usual) if self.e.traffic.hints else 0,
-                          f.client.again)
+        return interface.Request(
+            f.id,
+            self.e.classes[row.kind].name,
+            f.deadline,
+            row.number,
+            row.group,
+            self.e.tenants[row.tenant].name,
+            round(row.usual) if self.e.traffic.hints else 0,
+            f.client.again,
+        )
 
     def impatient(self: Day, f: Flow) -> None:
         """It leaves this try before its time, and comes again like after a failure."""
@@ -116,8 +123,9 @@
         client.flow = None
         if client.row.end <= client.row.arrival and client.failures > int(self.e.clients.retries):
             client.done = True  # one that wants no time of its own gives up after its retries
-        wait = (self.habits.after_failure(client) if refused_us is None
-                else self.habits.after_refusal(client, refused_us))
+        wait = (
+            self.habits.after_failure(client) if refused_us is None else self.habits.after_refusal(client, refused_us)
+        )
         self.engine.at(self.engine.now + max(1, wait), self.retry, client, client.tries)
 
     def retry(self: Day, client: Client, tries: int) -> None:
@@ -145,14 +153,14 @@
             self.measure.counts["held_back"] = self.measure.counts.get("held_back", 0) + 1
         if self.answered(f, "refused"):
             f.client.flow = None
-            self.engine.at(self.engine.now + self.links.to_client(), self.again_if_free, f.client,
-                           f.client.tries, retry_after_us)
+            self.engine.at(
+                self.engine.now + self.links.to_client(), self.again_if_free, f.client, f.client.tries, retry_after_us
+            )
 
     def failed(self: Day, f: Flow) -> None:
         if self.answered(f, "failed"):
             f.client.flow = None
-            self.engine.at(self.engine.now + self.links.to_client(), self.again_if_free, f.client,
-                           f.client.tries, None)
+            self.engine.at(self.engine.now + self.links.to_client(), self.again_if_free, f.client, f.client.tries, None)
 
     def overdue(self: Day, f: Flow) -> None:
         if self.answered(f, "overdue"):
--- a/glenrock/lab/day_processes.py
+++ b/glenrock/lab/day_processes.py
@@ -94,8 +94,12 @@
                 c.attempt.instance.mute(self.engine.now, c, False, self.load_of(c.client))
 
     def crossing(self: Day) -> list[Connection]:
-        return [c for i in self.instances.values() for c in i.held.values()
-                if not self.links.open(c.attempt.flow.host.zone, i.shape.zone) or c.muted]
+        return [
+            c
+            for i in self.instances.values()
+            for c in i.held.values()
+            if not self.links.open(c.attempt.flow.host.zone, i.shape.zone) or c.muted
+        ]
 
     def hand_back(self: Day, host: Host, over_us: int) -> None:
         """A planned end: its clients are moved away evenly over most of that time, and new ones are served."""
@@ -123,7 +127,7 @@
             return
         held = [f for f in host.flows.values() if f.standing and f.standing.out]
         turns = max(1.0, (until - self.engine.now) / STEP_US)
-        for f in held[:max(1, round(len(held) / turns + 0.49))]:
+        for f in held[: max(1, round(len(held) / turns + 0.49))]:
             self.moved(f)
         self.engine.at(self.engine.now + STEP_US, self.move_some, host, life, until)
 
--- a/glenrock/lab/faults.py
+++ b/glenrock/lab/faults.py
@@ -47,7 +47,7 @@
 def balancer_roll(day: Day, f: spec.BalancerRoll, draw: np.random.Generator) -> None:
     order = some(draw, day.hosts, float(f.part))
     batch = max(1, round(float(f.batch) * len(day.hosts)))
-    batches = [order[n:n + batch] for n in range(0, len(order), batch)]
+    batches = [order[n : n + batch] for n in range(0, len(order), batch)]
     for n, some_ in enumerate(batches):
         at = day.engine.now + us(f.for_s) * n // len(batches)
         for host in some_:
@@ -117,7 +117,7 @@
     batch = max(1, round(float(f.batch) * len(day.instances)))
     for n in range(0, len(order), batch):
         at = day.engine.now + us(f.every_s) * (n // batch)
-        for instance in order[n:n + batch]:
+        for instance in order[n : n + batch]:
             day.engine.at(at, day.drain, instance)
             day.engine.at(at + us(f.drain_s), day.stop_if_draining, instance)
             day.engine.at(at + us(f.drain_s) + us(f.down_s), day.begin, instance)
@@ -153,10 +153,21 @@
 
 
 FAULTS: dict[type[spec.Fault], Callable[[Any, Any, np.random.Generator], None]] = {
-    spec.Crash: crash, spec.ZoneCut: zone_cut, spec.BalancerRoll: balancer_roll, spec.Reconnect: reconnect,
-    spec.Slow: slow, spec.DiscoverySilence: discovery_silence, spec.StaleList: stale_list,
-    spec.FlashCrowd: arrivals, spec.TenantFlood: arrivals, spec.Drains: drains, spec.PeerLoss: peer_loss,
-    spec.Errs: errs, spec.ByHand: by_hand, spec.SendAway: send_away}
+    spec.Crash: crash,
+    spec.ZoneCut: zone_cut,
+    spec.BalancerRoll: balancer_roll,
+    spec.Reconnect: reconnect,
+    spec.Slow: slow,
+    spec.DiscoverySilence: discovery_silence,
+    spec.StaleList: stale_list,
+    spec.FlashCrowd: arrivals,
+    spec.TenantFlood: arrivals,
+    spec.Drains: drains,
+    spec.PeerLoss: peer_loss,
+    spec.Errs: errs,
+    spec.ByHand: by_hand,
+    spec.SendAway: send_away,
+}
 
 
 def lasts_s(f: spec.Fault) -> float:
--- a/glenrock/lab/measure.py
+++ b/glenrock/lab/measure.py
@@ -51,9 +51,26 @@
         self.waits = [histogram() for _ in range(kinds)]
         self.messages = histogram()
         self.refusals = histogram()  # how long a refusal took
-        self.counts = dict.fromkeys((
-            "clients", "tries", "attempts", "set_up", "refused", "failed", "overdue", "unreachable", "broken",
-            "moved", "probes", "peer_bytes", "crossings", "left", "shed"), 0)
+        self.counts = dict.fromkeys(
+            (
+                "clients",
+                "tries",
+                "attempts",
+                "set_up",
+                "refused",
+                "failed",
+                "overdue",
+                "unreachable",
+                "broken",
+                "moved",
+                "probes",
+                "peer_bytes",
+                "crossings",
+                "left",
+                "shed",
+            ),
+            0,
+        )
         self.crossing_s = self.standing_s = 0.0
         self.heat = np.zeros((instances, seconds), dtype=np.float32)  # load of each instance over what it can
         self.series: dict[str, list[float]] = {}
@@ -93,23 +110,40 @@
         whole = ratio(earned.sum(), asked.sum())
         e_s, a_s = earned.sum(axis=1), asked.sum(axis=1)
         window = min(WINDOW_S, len(a_s))
-        windows = [ratio(e_s[n:n + window].sum(), a_s[n:n + window].sum())
-                   for n in range(len(a_s) - window + 1) if a_s[n:n + window].sum() > 0]
+        windows = [
+            ratio(e_s[n : n + window].sum(), a_s[n : n + window].sum())
+            for n in range(len(a_s) - window + 1)
+            if a_s[n : n + window].sum() > 0
+        ]
         classes = {c.name: ratio(earned[:, k].sum(), asked[:, k].sum()) for k, c in enumerate(self.e.classes)}
-        tenants = {t.name: ratio(self.tenant_earned[n], self.tenant_asked[n])
-                   for n, t in enumerate(self.e.tenants)}
-        out = {"whole": whole, "worst_window": min(windows, default=1.0), "worst_class": min(classes.values()),
-               "worst_tenant": min(tenants.values()), "classes": classes, "tenants": tenants}
+        tenants = {t.name: ratio(self.tenant_earned[n], self.tenant_asked[n]) for n, t in enumerate(self.e.tenants)}
+        out = {
+            "whole": whole,
+            "worst_window": min(windows, default=1.0),
+            "worst_class": min(classes.values()),
+            "worst_tenant": min(tenants.values()),
+            "classes": classes,
+            "tenants": tenants,
+        }
         g, p, c = self.e.goal, self.e.platform, self.counts
         first = max(1, c["clients"])
         prices = {
             "crossings": p.price_cross_zone * (self.crossing_s / self.standing_s if self.standing_s else 0.0),
-            "probes": p.price_probe * c["probes"] / first, "moves": p.price_move * c["moved"] / first,
-            "peers": p.price_peer * c["peer_bytes"] / 256 / first}
-        goal = (g.whole * out["whole"] + g.worst_window * out["worst_window"] + g.worst_class * out["worst_class"]
-                + g.worst_tenant * out["worst_tenant"])
-        return {**{k: rounded(v) for k, v in out.items()}, "goal": rounded(max(0.0, goal - sum(prices.values()))),
-                "prices": rounded(prices)}
+            "probes": p.price_probe * c["probes"] / first,
+            "moves": p.price_move * c["moved"] / first,
+            "peers": p.price_peer * c["peer_bytes"] / 256 / first,
+        }
+        goal = (
+            g.whole * out["whole"]
+            + g.worst_window * out["worst_window"]
+            + g.worst_class * out["worst_class"]
+            + g.worst_tenant * out["worst_tenant"]
+        )
+        return {
+            **{k: rounded(v) for k, v in out.items()},
+            "goal": rounded(max(0.0, goal - sum(prices.values()))),
+            "prices": rounded(prices),
+        }
 
     def recovery(self, faults: list[dict[str, Any]]) -> list[dict[str, Any]]:
         """For each fault, seconds from its beginning until service was back for good, or null."""
@@ -118,14 +152,14 @@
         out = []
         for f in faults:
             at = int(f["from_s"])
-            before = share[max(0, at - 5):at].mean() if at > 0 else share[:1].mean()
+            before = share[max(0, at - 5) : at].mean() if at > 0 else share[:1].mean()
             worst = at
             back = None
             ends = min(len(share), int(np.ceil(f["to_s"])) + 1)
             if at < len(share):
-                worst = at + int(np.argmin(share[at:max(at + 1, ends)]))
+                worst = at + int(np.argmin(share[at : max(at + 1, ends)]))
             for s in range(worst, len(share) - STAYS_S + 1):
-                if (share[s:s + STAYS_S] >= BACK * before).all():
+                if (share[s : s + STAYS_S] >= BACK * before).all():
                     back = s - at
                     break
             deep = rounded(float(share[worst])) if at < len(share) else None
@@ -135,7 +169,7 @@
     def fairness(self) -> float:
         """Jain's index over tenants of seconds served in time, each over seconds wanted. 1: all alike."""
         x = np.array([ratio(a, b) for a, b in zip(self.tenant_all, self.tenant_wanted, strict=True)])
-        return rounded(float(x.sum() ** 2 / (len(x) * (x ** 2).sum()))) if (x ** 2).sum() else 1.0
+        return rounded(float(x.sum() ** 2 / (len(x) * (x**2).sum()))) if (x**2).sum() else 1.0
 
 
 def ratio(a: float, b: float) -> float:
--- a/glenrock/lab/model/balancer.py
+++ b/glenrock/lab/model/balancer.py
@@ -84,8 +84,9 @@
 class Host:
     """The process. It is started anew by `begin`; what belongs to an earlier life is void."""
 
-    def __init__(self, index: int, zone: int, engine: Engine, world: World, tick_us: int,
-                 make: Callable[[int, int], Decisions]) -> None:
+    def __init__(
+        self, index: int, zone: int, engine: Engine, world: World, tick_us: int, make: Callable[[int, int], Decisions]
+    ) -> None:
         self.index, self.zone, self.engine, self.world, self.tick = index, zone, engine, world, tick_us
         self.make = make  # index and life -> decisions
         self.up, self.life, self.told_at = False, 0, 0
@@ -239,8 +240,11 @@
         if a.up or verdict == "served":
             f.answered = f.over = True
         done = f.answered or f.over
-        self.post(interface.AttemptEnded(f.id, a.number, a.instance.name, verdict, done, self.engine.now - a.sent,
-                                  report or {}))
+        self.post(
+            interface.AttemptEnded(
+                f.id, a.number, a.instance.name, verdict, done, self.engine.now - a.sent, report or {}
+            )
+        )
         if done:
             self.finish(f)
 
@@ -328,8 +332,13 @@
 
 
 ACTIONS: dict[type, Callable[[Host, Any], None]] = {
-    interface.StartAttempt: Host.on_send, interface.CancelAttempt: Host.on_cancel, interface.Reject: Host.on_refuse,
+    interface.StartAttempt: Host.on_send,
+    interface.CancelAttempt: Host.on_cancel,
+    interface.Reject: Host.on_refuse,
     interface.Fail: Host.on_fail,
-    interface.Migrate: Host.on_move, interface.SetTimer: Host.on_timer, interface.SendHealthCheck: Host.on_probe,
+    interface.Migrate: Host.on_move,
+    interface.SetTimer: Host.on_timer,
+    interface.SendHealthCheck: Host.on_probe,
     interface.SendGossip: Host.on_tell,
-    interface.WatchEndpoints: Host.on_watch}
+    interface.WatchEndpoints: Host.on_watch,
+}
--- a/glenrock/lab/model/instance.py
+++ b/glenrock/lab/model/instance.py
@@ -185,9 +185,18 @@
         if (now - self.number) // period == (self.last - self.number) // period and self.reports:
             return
         whole = max(1e-9, self.capacity(now))
-        self.reports.append((now, {
-            "load_ratio": self.demand / whole, "utilization": min(1.0, (self.demand + self.busy) / whole),
-            "backlog": float(len(self.queue)), "backlog_s": self.piled / whole, "inflight": float(len(self.held))}))
+        self.reports.append(
+            (
+                now,
+                {
+                    "load_ratio": self.demand / whole,
+                    "utilization": min(1.0, (self.demand + self.busy) / whole),
+                    "backlog": float(len(self.queue)),
+                    "backlog_s": self.piled / whole,
+                    "inflight": float(len(self.held)),
+                },
+            )
+        )
 
     def reported(self, then: int) -> dict[str, float]:
         """The report as it was then. It outlives a restart: the first ones after it describe the old process."""
--- a/glenrock/lab/model/plan.py
+++ b/glenrock/lab/model/plan.py
@@ -103,9 +103,19 @@
     return _rows(e, streams, times[order], tenants[order], quotas, usual, rate, capacity, lives, shares, load)
 
 
-def _rows(e: Experiment, streams: Streams, times: np.ndarray, tenants: np.ndarray, quotas: tuple[float, ...],
-          usual: float, rate: float, capacity: float, lives: np.ndarray, shares: np.ndarray,
-          mean_load: float) -> Plan:
+def _rows(
+    e: Experiment,
+    streams: Streams,
+    times: np.ndarray,
+    tenants: np.ndarray,
+    quotas: tuple[float, ...],
+    usual: float,
+    rate: float,
+    capacity: float,
+    lives: np.ndarray,
+    shares: np.ndarray,
+    mean_load: float,
+) -> Plan:
     t, count, length = e.traffic, len(times), float(e.length_s)
     draw = streams.of("clients")
     kinds = draw.choice(len(shares), size=count, p=shares)
@@ -122,7 +132,8 @@
     group = draw.choice(groups, size=count, p=rank / rank.sum())
     keep = (times >= 0) | (times + life > 0)
     times, tenants, kinds, zones, life, loads, group = (
-        x[keep] for x in (times, tenants, kinds, zones, life, loads, group))
+        x[keep] for x in (times, tenants, kinds, zones, life, loads, group)
+    )
     ends = times + life
 
     # Changes of load, from a stream of their own; only within the day.
@@ -145,12 +156,21 @@
 
     weights = _weights(times, ends, tenants, quotas, float(e.platform.over_share_worth))
     rows = []
-    for n, (a, z, k, x, zone, g, load, w) in enumerate(zip(
-            (times * S).astype(np.int64).tolist(), (ends * S).astype(np.int64).tolist(), kinds.tolist(),
-            tenants.tolist(), zones.tolist(), group.tolist(), loads.tolist(), weights, strict=True)):
+    for n, (a, z, k, x, zone, g, load, w) in enumerate(
+        zip(
+            (times * S).astype(np.int64).tolist(),
+            (ends * S).astype(np.int64).tolist(),
+            kinds.tolist(),
+            tenants.tolist(),
+            zones.tolist(),
+            group.tolist(),
+            loads.tolist(),
+            weights,
+            strict=True,
+        )
+    ):
         at, past = int(starts[n]), int(starts[n + 1])
-        rows.append(Row(n, a, z, k, x, zone, g, load, w,
-                        tuple(zip(when_us[at:past], size_of[at:past], strict=True))))
+        rows.append(Row(n, a, z, k, x, zone, g, load, w, tuple(zip(when_us[at:past], size_of[at:past], strict=True))))
     worth = np.array([float(c.worth) for c in e.classes])
     seconds = int(np.ceil(length))
     asked = np.zeros((seconds, len(worth)))
@@ -161,8 +181,9 @@
     return Plan(rows, asked, quotas, mean_load, capacity, rate)
 
 
-def _weights(times: np.ndarray, ends: np.ndarray, tenants: np.ndarray, quotas: tuple[float, ...],
-             beyond: float) -> list[float]:
+def _weights(
+    times: np.ndarray, ends: np.ndarray, tenants: np.ndarray, quotas: tuple[float, ...], beyond: float
+) -> list[float]:
     """1 for a client that comes while its tenant wants no more than its share, else `beyond`."""
     out = [1.0] * len(times)
     for t, quota in enumerate(quotas):
--- a/glenrock/lab/model/shapes.py
+++ b/glenrock/lab/model/shapes.py
@@ -26,10 +26,22 @@
     for n in range(count):
         k = e.kinds[int(kinds[n])]
         speed = float(k.speed) * max(0.2, 1 + float(k.speed_cv) * float(draw.standard_normal()))
-        out.append(Shape(k.name, int(place[n]), k.cores, speed, float(k.cold_part), float(k.warm_s) * S,
-                         float(k.crowd_at), float(k.crowd_loss),
-                         max(1, round(float(k.queue_per_core) * k.cores)),
-                         max(1, round(float(k.connections_per_core) * k.cores)), float(k.buffer_s), k.sheds))
+        out.append(
+            Shape(
+                k.name,
+                int(place[n]),
+                k.cores,
+                speed,
+                float(k.cold_part),
+                float(k.warm_s) * S,
+                float(k.crowd_at),
+                float(k.crowd_loss),
+                max(1, round(float(k.queue_per_core) * k.cores)),
+                max(1, round(float(k.connections_per_core) * k.cores)),
+                float(k.buffer_s),
+                k.sheds,
+            )
+        )
     return out
 
 
@@ -38,7 +50,13 @@
     shortest = min(float(c.message_aim_ms) for c in e.classes) * 1000
     usual = S / float(e.traffic.connections_per_core)
     return Figures(
-        shortest * float(e.traffic.message_part), float(e.traffic.bursty),
-        tuple(float(c.message_aim_ms) * 1000 for c in e.classes), shortest,
-        usual * float(e.traffic.group_cost), usual, max(1, round(float(e.reports.period_ms) * 1000)),
-        e.rules.cold_multiple, round(e.rules.cold_window_ms * 1000))
+        shortest * float(e.traffic.message_part),
+        float(e.traffic.bursty),
+        tuple(float(c.message_aim_ms) * 1000 for c in e.classes),
+        shortest,
+        usual * float(e.traffic.group_cost),
+        usual,
+        max(1, round(float(e.reports.period_ms) * 1000)),
+        e.rules.cold_multiple,
+        round(e.rules.cold_window_ms * 1000),
+    )
--- a/glenrock/lab/plots.py
+++ b/glenrock/lab/plots.py
@@ -107,9 +107,15 @@
     for n, (row, values) in enumerate(rows.items()):
         x = np.arange(len(names)) + (n - (len(rows) - 1) / 2) * width
         mean = [v[0] for v in values]
-        ax.bar(x, mean, width, label=row, color=LINES[n % len(LINES)],
-               yerr=[[max(0.0, v[0] - v[1]) for v in values], [max(0.0, v[2] - v[0]) for v in values]],
-               error_kw={"elinewidth": 0.8})
+        ax.bar(
+            x,
+            mean,
+            width,
+            label=row,
+            color=LINES[n % len(LINES)],
+            yerr=[[max(0.0, v[0] - v[1]) for v in values], [max(0.0, v[2] - v[0]) for v in values]],
+            error_kw={"elinewidth": 0.8},
+        )
     ax.set_xticks(range(len(names)), names, rotation=20, ha="right")
     ax.set(title=title, ylabel=label)
     ax.grid(alpha=0.3, axis="y")
--- a/glenrock/lab/policies/simple.py
+++ b/glenrock/lab/policies/simple.py
@@ -210,7 +210,7 @@
         for s in self.servers.values():
             if s.leaves_by and s.held:
                 rounds = max(1, (s.leaves_by - self.now) // ROUND_US)
-                for id_ in list(s.held)[:-(-len(s.held) // rounds)]:
+                for id_ in list(s.held)[: -(-len(s.held) // rounds)]:
                     self.out.append(interface.Migrate(id_))
         self.on_round()
 
@@ -232,9 +232,14 @@
         return among[self.rng.randrange(len(among))]
 
 
-HANDLERS = {interface.EndpointList: Simple.on_list, interface.Request: Simple.on_request,
-            interface.OpenConnection: Simple.on_open,
-            interface.ConnectionEstablished: Simple.on_started, interface.AttemptEnded: Simple.on_ended,
-            interface.ClientDisconnected: Simple.on_gone,
-            interface.TimerFired: Simple.on_timer, interface.HealthCheckResult: Simple.on_probe,
-            interface.OperatorOverride: Simple.on_hand}
+HANDLERS = {
+    interface.EndpointList: Simple.on_list,
+    interface.Request: Simple.on_request,
+    interface.OpenConnection: Simple.on_open,
+    interface.ConnectionEstablished: Simple.on_started,
+    interface.AttemptEnded: Simple.on_ended,
+    interface.ClientDisconnected: Simple.on_gone,
+    interface.TimerFired: Simple.on_timer,
+    interface.HealthCheckResult: Simple.on_probe,
+    interface.OperatorOverride: Simple.on_hand,
+}
--- a/glenrock/lab/record.py
+++ b/glenrock/lab/record.py
@@ -1,10 +1,10 @@
 """A run on disk: written beside and then renamed, so that nothing is ever half written.
 
-    summary.json     what came of it (docs/lab.md lists the keys)
-    series.csv       one line a second
-    heat.csv         load of each instance, one line a second; -1 where it was down
-    histograms.json  HDR histograms, whole, in HdrHistogram's own base64 form
-    report.html      the same for people
+summary.json     what came of it (docs/lab.md lists the keys)
+series.csv       one line a second
+heat.csv         load of each instance, one line a second; -1 where it was down
+histograms.json  HDR histograms, whole, in HdrHistogram's own base64 form
+report.html      the same for people
 """
 
 from __future__ import annotations
@@ -82,11 +82,17 @@
     with open(into / "series.csv", "w", newline="", encoding="utf-8") as f:
         out = csv.writer(f)
         classes = [c.name for c in e.classes]
-        out.writerow(["second", "asked", "served", *(f"asked {c}" for c in classes),
-                      *(f"served {c}" for c in classes), *names])
+        out.writerow(
+            ["second", "asked", "served", *(f"asked {c}" for c in classes), *(f"served {c}" for c in classes), *names]
+        )
         for s in range(m.seconds):
-            row = [m.asked[s].sum(), served[s].sum(), *m.asked[s], *served[s],
-                   *(m.series[n][s] if s < len(m.series[n]) else 0.0 for n in names)]
+            row = [
+                m.asked[s].sum(),
+                served[s].sum(),
+                *m.asked[s],
+                *served[s],
+                *(m.series[n][s] if s < len(m.series[n]) else 0.0 for n in names),
+            ]
             out.writerow([s, *(f"{v:.6g}" for v in row)])
     with open(into / "heat.csv", "w", newline="", encoding="utf-8") as f:
         out = csv.writer(f)
--- a/glenrock/lab/rules.py
+++ b/glenrock/lab/rules.py
@@ -46,9 +46,15 @@
         self.counts[rule] += 1
         if len(self.breaches) >= TOLD:
             return
-        led = [f"{(at - self.start) / 1e6:.6f} {what} {r} {i}".rstrip() for at, what, r, i in self.trail
-               if request and r == request or instance and i == instance and not r]
+        led = [
+            f"{(at - self.start) / 1e6:.6f} {what} {r} {i}".rstrip()
+            for at, what, r, i in self.trail
+            if request and r == request or instance and i == instance and not r
+        ]
         if not request:
-            led = [f"{(at - self.start) / 1e6:.6f} {what} {r} {i}".rstrip()
-                   for at, what, r, i in self.trail if i == instance]
+            led = [
+                f"{(at - self.start) / 1e6:.6f} {what} {r} {i}".rstrip()
+                for at, what, r, i in self.trail
+                if i == instance
+            ]
         self.breaches.append(Breach(rule, (now - self.start) / 1e6, text, balancer, request, instance, led[-SHOWN:]))
--- a/glenrock/lab/runner.py
+++ b/glenrock/lab/runner.py
@@ -64,8 +64,9 @@
     signal.signal(signal.SIGINT, signal.SIG_IGN)
 
 
-def run_all(todo: list[Task], jobs: int, kept: Path | None, resume: bool,
-            done: Callable[[int], None]) -> Iterator[dict[str, Any]]:
+def run_all(
+    todo: list[Task], jobs: int, kept: Path | None, resume: bool, done: Callable[[int], None]
+) -> Iterator[dict[str, Any]]:
     """Summaries as they are finished, those kept from before first. Ctrl-C ends it; what is finished is kept."""
     left: list[Task] = []
     for task in todo:
--- a/glenrock/lab/spec.py
+++ b/glenrock/lab/spec.py
@@ -39,9 +39,31 @@
 from .spec_types import Above0, Above0R, CountR, Least0, Least0R, Part, PartR, Some, SomeR, Strict
 from .streams import Streams
 
-__all__ = ["FAULTS", "BalancerRoll", "ByHand", "Crash", "DiscoverySilence", "Drains", "Errs", "Experiment", "Fault",
-           "FlashCrowd", "PeerLoss", "Reconnect", "SendAway", "Slow", "StaleList", "TenantFlood", "ZoneCut", "check",
-           "drawn", "load", "merge", "points", "settings_of"]
+__all__ = [
+    "FAULTS",
+    "BalancerRoll",
+    "ByHand",
+    "Crash",
+    "DiscoverySilence",
+    "Drains",
+    "Errs",
+    "Experiment",
+    "Fault",
+    "FlashCrowd",
+    "PeerLoss",
+    "Reconnect",
+    "SendAway",
+    "Slow",
+    "StaleList",
+    "TenantFlood",
+    "ZoneCut",
+    "check",
+    "drawn",
+    "load",
+    "merge",
+    "points",
+    "settings_of",
+]
 
 
 class Kind(Strict):
@@ -155,7 +177,10 @@
 
 class Reports(Strict):
     names: tuple[Literal["load_ratio", "utilization", "backlog", "backlog_s", "inflight"], ...] = (
-        "load_ratio", "utilization", "backlog")
+        "load_ratio",
+        "utilization",
+        "backlog",
+    )
     period_ms: Above0R = 200.0  # refreshed this often
     delay_ms: Least0R = 60.0  # and this late
     noise: Least0R = 0.1  # lognormal sigma of each value
@@ -316,6 +341,7 @@
 
 def check(e: Experiment, path: Path, text: str) -> None:
     """What the types alone do not say."""
+
     def need(ok: bool, key: str, what: str) -> None:
         if not ok:
             raise fault(path, text, key, what)
@@ -332,8 +358,11 @@
         need(low(k.cold_part) > 0, f"kinds[{n}].cold_part", "must be above 0")
     for n, c in enumerate(e.classes):
         need(high(c.aim_ms) <= low(c.give_up_ms), f"classes[{n}].aim_ms", "must lie within give_up_ms")
-    need(any(low(c.life) > 0 for c in e.classes) or all(high(c.life) == 0 for c in e.classes),
-         "classes", "a life of 0 goes with no other life")
+    need(
+        any(low(c.life) > 0 for c in e.classes) or all(high(c.life) == 0 for c in e.classes),
+        "classes",
+        "a life of 0 goes with no other life",
+    )
     for n, f in enumerate(e.faults):
         key = f"faults[{n}]"
         need(low(f.at_s) < low(e.length_s), f"{key}.at_s", f"is past the end of the day ({low(e.length_s):g} s)")
@@ -344,9 +373,13 @@
         if isinstance(f, SendAway):
             need(f.balancer < low(e.fleet.balancers), f"{key}.balancer", "there is no such balancer on every day")
         if isinstance(f, TenantFlood):
-            need(not f.tenant or f.tenant in {t.name for t in e.tenants}, f"{key}.tenant",
-                 f"{f.tenant!r} is not one of tenants")
+            need(
+                not f.tenant or f.tenant in {t.name for t in e.tenants},
+                f"{key}.tenant",
+                f"{f.tenant!r} is not one of tenants",
+            )
     from .policies.module import OPEN
+
     for name in e.constants:
         need(name in OPEN, f"constants.{name}", "not an open constant of the routing decisions")
     total = e.goal.whole + e.goal.worst_window + e.goal.worst_class + e.goal.worst_tenant
@@ -362,15 +395,20 @@
 
 
 def is_range(x: Any) -> bool:
-    return isinstance(x, tuple) and len(x) == 2 and all(
-        isinstance(v, int | float) and not isinstance(v, bool) for v in x)
+    return (
+        isinstance(x, tuple) and len(x) == 2 and all(isinstance(v, int | float) and not isinstance(v, bool) for v in x)
+    )
 
 
 def pairs(x: Any, key: str = "") -> list[tuple[str, tuple[float, float]]]:
     """Each range in an experiment, with its path."""
     if isinstance(x, Struct):
-        return [found for name in x.__struct_fields__ if name != "sweep"
-                for found in pairs(getattr(x, name), f"{key}.{name}".lstrip("."))]
+        return [
+            found
+            for name in x.__struct_fields__
+            if name != "sweep"
+            for found in pairs(getattr(x, name), f"{key}.{name}".lstrip("."))
+        ]
     if is_range(x):
         return [(key, x)]
     if isinstance(x, tuple):
@@ -384,8 +422,9 @@
 
     def one(x: Any, key: str) -> Any:
         if isinstance(x, Struct):
-            return msgspec.structs.replace(x, **{
-                name: one(getattr(x, name), f"{key}.{name}") for name in x.__struct_fields__ if name != "sweep"})
+            return msgspec.structs.replace(
+                x, **{name: one(getattr(x, name), f"{key}.{name}") for name in x.__struct_fields__ if name != "sweep"}
+            )
         if is_range(x):
             u = float(streams.of(f"draw{key}").random())
             whole = all(isinstance(v, int) for v in x)
@@ -393,6 +432,7 @@
         if isinstance(x, tuple):
             return tuple(one(value, f"{key}[{n}]") for n, value in enumerate(x))
         return x
+
     return one(e, "")
 
 
@@ -401,17 +441,36 @@
     us = 1000
     p, r = e.platform, e.rules
     return interface.Settings(
-        classes=tuple(interface.RequestClass(
-            c.name, round(c.aim_ms * us), round(c.give_up_ms * us), round(c.message_aim_ms * us), c.worth)
-            for c in e.classes),
+        classes=tuple(
+            interface.RequestClass(
+                c.name, round(c.aim_ms * us), round(c.give_up_ms * us), round(c.message_aim_ms * us), c.worth
+            )
+            for c in e.classes
+        ),
         tenants=tuple(interface.Tenant(t.name, q) for t, q in zip(e.tenants, quotas, strict=True)),
-        zone=zone, index=index, balancers=int(e.fleet.balancers), tick_us=max(1, round(p.tick_ms * us)),
-        max_attempts=p.max_attempts, may_cancel=p.may_cancel, may_health_check=p.may_probe, may_gossip=p.may_tell,
-        sends_retry_after=p.retry_after, max_retry_after_us=round(p.max_retry_after_ms * us),
-        connect_timeout_us=round(p.dial_timeout_ms * us), must_poll_endpoints=e.discovery.mode == "ask",
-        answer_grace_us=round(r.answer_grace_ms * us), drain_grace_us=round(r.drain_grace_ms * us),
-        slow_start_initial_share=r.cold_share, slow_start_us=round(r.cold_s * us * 1000),
-        slow_start_multiple=r.cold_multiple, slow_start_window_us=round(r.cold_window_ms * us),
-        over_quota_weight=p.over_share_worth, load_report_fields=e.reports.names,
-        reports_message_delay=e.reports.delay_told, cross_zone_cost=p.price_cross_zone,
-        health_check_cost=p.price_probe, gossip_cost=p.price_peer, migration_cost=p.price_move)
+        zone=zone,
+        index=index,
+        balancers=int(e.fleet.balancers),
+        tick_us=max(1, round(p.tick_ms * us)),
+        max_attempts=p.max_attempts,
+        may_cancel=p.may_cancel,
+        may_health_check=p.may_probe,
+        may_gossip=p.may_tell,
+        sends_retry_after=p.retry_after,
+        max_retry_after_us=round(p.max_retry_after_ms * us),
+        connect_timeout_us=round(p.dial_timeout_ms * us),
+        must_poll_endpoints=e.discovery.mode == "ask",
+        answer_grace_us=round(r.answer_grace_ms * us),
+        drain_grace_us=round(r.drain_grace_ms * us),
+        slow_start_initial_share=r.cold_share,
+        slow_start_us=round(r.cold_s * us * 1000),
+        slow_start_multiple=r.cold_multiple,
+        slow_start_window_us=round(r.cold_window_ms * us),
+        over_quota_weight=p.over_share_worth,
+        load_report_fields=e.reports.names,
+        reports_message_delay=e.reports.delay_told,
+        cross_zone_cost=p.price_cross_zone,
+        health_check_cost=p.price_probe,
+        gossip_cost=p.price_peer,
+        migration_cost=p.price_move,
+    )
--- a/glenrock/lab/spec_faults.py
+++ b/glenrock/lab/spec_faults.py
@@ -130,6 +130,20 @@
     for_s: Above0R = 4.5
 
 
-AnyFault = (Crash | ZoneCut | BalancerRoll | Reconnect | Slow | DiscoverySilence | StaleList | FlashCrowd
-            | TenantFlood | Drains | PeerLoss | Errs | ByHand | SendAway)
+AnyFault = (
+    Crash
+    | ZoneCut
+    | BalancerRoll
+    | Reconnect
+    | Slow
+    | DiscoverySilence
+    | StaleList
+    | FlashCrowd
+    | TenantFlood
+    | Drains
+    | PeerLoss
+    | Errs
+    | ByHand
+    | SendAway
+)
 FAULTS: tuple[type[Fault], ...] = AnyFault.__args__
--- a/glenrock/lab/stats.py
+++ b/glenrock/lab/stats.py
@@ -28,5 +28,5 @@
     n = wins + sum(d < 0 for d in differences)
     if n == 0:
         return 1.0
-    tail = sum(comb(n, k) for k in range(max(wins, n - wins), n + 1)) / 2 ** n
+    tail = sum(comb(n, k) for k in range(max(wins, n - wins), n + 1)) / 2**n
     return min(1.0, 2 * tail)
--- a/glenrock/lab/streams.py
+++ b/glenrock/lab/streams.py
@@ -20,8 +20,9 @@
 
     def of(self, purpose: str) -> np.random.Generator:
         """The generator of that purpose; asked twice, it starts again."""
-        return np.random.Generator(np.random.PCG64(np.random.SeedSequence(
-            [self.seed, xxh64_intdigest(purpose.encode())])))
+        return np.random.Generator(
+            np.random.PCG64(np.random.SeedSequence([self.seed, xxh64_intdigest(purpose.encode())]))
+        )
 
     def uniforms(self, purpose: str) -> Callable[[], float]:
         """A function that gives the next number in [0, 1)."""
@@ -43,4 +44,5 @@
             held = draw(BLOCK).tolist()
             held.reverse()
         return held.pop()
+
     return one
--- a/glenrock/stage/clients.py
+++ b/glenrock/stage/clients.py
@@ -31,9 +31,19 @@
 class Clients:
     """All of them. `counts` are the laboratory's."""
 
-    def __init__(self, scene: Scene, rows: list[Row], front: Front, addresses: list[Address], habits: Habits,
-                 engine: LoopEngine, history: History, registry: dict[str, Row], counts: dict[str, int],
-                 waited: list) -> None:  # type: ignore[type-arg]
+    def __init__(
+        self,
+        scene: Scene,
+        rows: list[Row],
+        front: Front,
+        addresses: list[Address],
+        habits: Habits,
+        engine: LoopEngine,
+        history: History,
+        registry: dict[str, Row],
+        counts: dict[str, int],
+        waited: list,
+    ) -> None:  # type: ignore[type-arg]
         self.scene, self.rows, self.front, self.addresses = scene, rows, front, addresses
         self.habits, self.engine, self.history = habits, engine, history
         self.registry, self.counts, self.waited = registry, counts, waited
@@ -137,8 +147,9 @@
         finally:
             writer.close()
 
-    async def answer(self, c: Caller, id_: str, number: int, reader: asyncio.StreamReader,
-                     patience: float) -> tuple[str, int]:
+    async def answer(
+        self, c: Caller, id_: str, number: int, reader: asyncio.StreamReader, patience: float
+    ) -> tuple[str, int]:
         try:
             async with asyncio.timeout(patience + SILENT_S):
                 line = await reader.readline()
@@ -155,8 +166,9 @@
             return "closed", 0
         if word == "UP":
             self.counts["set_up"] += 1
-            self.history.note("clients", "answered", id_, balancer=number, answer="UP",
-                              instance=rest.rpartition("-")[0])
+            self.history.note(
+                "clients", "answered", id_, balancer=number, answer="UP", instance=rest.rpartition("-")[0]
+            )
             return "up", 0
         self.counts["refused" if word == "BUSY" else "failed"] += 1
         self.history.note("clients", "answered", id_, balancer=number, answer=word)
@@ -167,8 +179,9 @@
         told = int(rest) * 1000 if word == "BUSY" and rest.isdecimal() else 0
         return "refused" if word == "BUSY" else "failed", told
 
-    async def stand(self, c: Caller, id_: str, number: int, reader: asyncio.StreamReader,
-                    writer: asyncio.StreamWriter) -> str:
+    async def stand(
+        self, c: Caller, id_: str, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> str:
         c.standing, c.failures = True, 0
         asks = asyncio.ensure_future(self.asks(writer))
         how = "own"
--- a/glenrock/stage/consul.py
+++ b/glenrock/stage/consul.py
@@ -50,8 +50,15 @@
 
     def told(self, key: str) -> dict[str, Any]:
         more = {"Session": self.session} if self.session else {}
-        return {"LockIndex": self.locked, "Key": key, "Flags": 0, "Value": self.value, "CreateIndex": self.created,
-                "ModifyIndex": self.modified, **more}
+        return {
+            "LockIndex": self.locked,
+            "Key": key,
+            "Flags": 0,
+            "Value": self.value,
+            "CreateIndex": self.created,
+            "ModifyIndex": self.modified,
+            **more,
+        }
 
 
 @dataclass(slots=True)
@@ -120,8 +127,9 @@
         old = e or Entry(None, self.index, 0)
         held = {"set": old.session, "lock": session, "unlock": ""}[verb]
         value = op.get("Value", old.value) if verb != "unlock" else old.value
-        self.entries[key] = Entry(value, old.created, self.index,
-                                  old.locked + (verb == "lock" and old.session != session), held)
+        self.entries[key] = Entry(
+            value, old.created, self.index, old.locked + (verb == "lock" and old.session != session), held
+        )
         return {**self.entries[key].told(key), "Value": None}, ""
 
     def transaction(self, operations: list[dict[str, Any]]) -> tuple[list[dict[str, Any]], list[dict[str, Any]]]:
@@ -172,8 +180,9 @@
     def keep(self) -> None:
         """A snapshot, to be rolled back to."""
         s = self.state
-        self.snapshots.append(replace(s, entries=dict(s.entries), sessions=dict(s.sessions), delayed=dict(s.delayed),
-                                      gone=dict(s.gone)))
+        self.snapshots.append(
+            replace(s, entries=dict(s.entries), sessions=dict(s.sessions), delayed=dict(s.delayed), gone=dict(s.gone))
+        )
 
     def restart(self, back: bool = False) -> None:
         """As a new leader: each TTL begins anew. `back`: with what stood in the last snapshot."""
@@ -234,8 +243,10 @@
         if "index" in asked:
             wait = min(LONGEST_WAIT_S, seconds(asked.get("wait", ["10s"])[0]))
             until = self.loop.time() + wait
-            while self.below(key, "recurse" in asked)[1] <= int(asked["index"][0]) and (
-                    left := until - self.loop.time()) > 0:
+            while (
+                self.below(key, "recurse" in asked)[1] <= int(asked["index"][0])
+                and (left := until - self.loop.time()) > 0
+            ):
                 try:
                     await asyncio.wait_for(self.news.wait(), left)
                 except TimeoutError:
--- a/glenrock/stage/faults.py
+++ b/glenrock/stage/faults.py
@@ -58,8 +58,14 @@
         self.on.append(spell)
         return spell
 
-    async def lasting(self, f: spec.Pause | spec.Squeeze | spec.ListFault | spec.Way, begin: Callable[[], object],
-                      undo: Callable[[], object], *parties: str, lag_us: int = SETTLE_US) -> None:
+    async def lasting(
+        self,
+        f: spec.Pause | spec.Squeeze | spec.ListFault | spec.Way,
+        begin: Callable[[], object],
+        undo: Callable[[], object],
+        *parties: str,
+        lag_us: int = SETTLE_US,
+    ) -> None:
         """A fault that lasts its time and is undone then."""
         spell = self.strike(f, *parties, lag_us=lag_us)
         begin()
@@ -188,8 +194,13 @@
         loop, draw, lease = asyncio.get_running_loop(), self.draw, float(self.stage.scene.together.lease_ms) / 1000
         end = loop.time() + float(f.for_s)
         while loop.time() < end:
-            free = [b.number for b in self.stage.balancers if b.up and not b.paused
-                    and not any(b.name in s.parties and s.kind in ("pause", "kill") for s in self.on)]
+            free = [
+                b.number
+                for b in self.stage.balancers
+                if b.up
+                and not b.paused
+                and not any(b.name in s.parties and s.kind in ("pause", "kill") for s in self.on)
+            ]
             kind = draw.choice(f.kinds)
             if len(free) > 1:
                 one, other = draw.sample(free, 2)
@@ -206,8 +217,14 @@
                     target = "store" if kind == "store_cut" else f"balancer:{other}"
                     ends = (f"balancer:{one}", target)
                     late = 0.0 if kind != "late" else lease * 1500
-                    way = spec.Way(at_s=0.0, source=ends[draw.random() < 0.5], target="", for_s=lease * draw.uniform(
-                        0.2, 2.0), cut=kind != "late", delay_ms=late)
+                    way = spec.Way(
+                        at_s=0.0,
+                        source=ends[draw.random() < 0.5],
+                        target="",
+                        for_s=lease * draw.uniform(0.2, 2.0),
+                        cut=kind != "late",
+                        delay_ms=late,
+                    )
                     way = msgspec.structs.replace(way, target=ends[way.source == ends[0]])
                     await self.beside(self.way(way, -1))
             await asyncio.sleep(float(f.each_ms) / 1000 * draw.uniform(0.5, 1.5))
@@ -235,5 +252,10 @@
         struck = {p for p in every for q in every if ways.strikes(f, p, q) or ways.strikes(f, q, p)}
         datagrams = struck <= {b.name for b in stage.balancers}
         # What balancers tell each other is no part of any rule: losing it excuses nothing.
-        await self.lasting(f, lambda: stage.ways.begin(f), lambda: stage.ways.end(f), *(() if datagrams else struck),
-                           lag_us=STREAM_SETTLE_US)
+        await self.lasting(
+            f,
+            lambda: stage.ways.begin(f),
+            lambda: stage.ways.end(f),
+            *(() if datagrams else struck),
+            lag_us=STREAM_SETTLE_US,
+        )
--- a/glenrock/stage/front.py
+++ b/glenrock/stage/front.py
@@ -42,8 +42,7 @@
                 if number not in self.known:
                     self.known.add(number)
                     self.history.note("front", "takes in", balancer=number)
-            elif number in self.known and (
-                    answer == b"ERR" or loop.time() - self.heard[number] > self.notice_s):
+            elif number in self.known and (answer == b"ERR" or loop.time() - self.heard[number] > self.notice_s):
                 self.known.discard(number)
                 self.history.note("front", "leaves out", balancer=number)
             await asyncio.sleep(self.look_s)
--- a/glenrock/stage/instances.py
+++ b/glenrock/stage/instances.py
@@ -21,8 +21,13 @@
 from .spec import Scene
 
 S = 1_000_000
-NAMES = {interface.LOAD_RATIO: "x0", interface.UTILIZATION: "util",
-         "backlog": "queue", "backlog_s": "x1", "inflight": "inflight"}
+NAMES = {
+    interface.LOAD_RATIO: "x0",
+    interface.UTILIZATION: "util",
+    "backlog": "queue",
+    "backlog_s": "x1",
+    "inflight": "inflight",
+}
 REFUSED = {"full": b"BUSY\r\n", "error": b"ERR\r\n"}
 LONGEST_ECHO_S = 30.0
 
@@ -41,10 +46,22 @@
 class Standin:
     """One instance, with an address for each balancer."""
 
-    def __init__(self, number: int, name: str, shape: Shape, figures: Figures, scene: Scene, engine: LoopEngine,
-                 history: History, rows: dict[str, Row], net: Net, noise: Callable[[], float],
-                 earn: Callable[[int, int, float], None], work: Callable[[Row], float],
-                 credit: Callable[[Row, float], None]) -> None:
+    def __init__(
+        self,
+        number: int,
+        name: str,
+        shape: Shape,
+        figures: Figures,
+        scene: Scene,
+        engine: LoopEngine,
+        history: History,
+        rows: dict[str, Row],
+        net: Net,
+        noise: Callable[[], float],
+        earn: Callable[[int, int, float], None],
+        work: Callable[[Row], float],
+        credit: Callable[[Row, float], None],
+    ) -> None:
         self.number, self.name, self.party = number, name, f"instance:{number}"
         self.zone = scene.fleet.zones[shape.zone]
         self.scene, self.engine, self.history, self.rows = scene, engine, history, rows
@@ -54,8 +71,9 @@
         self.model.last = engine.now
         self.started_ms = 0.0  # Unix time, as the list tells it; 0: long ago
         self.told_start: dict[int, float] = {}  # balancer: the start that the list told it last
-        self.listeners = [Listener(net.next(), lambda r, w, n=n: self.serve(n, r, w))
-                          for n in range(int(scene.fleet.balancers))]
+        self.listeners = [
+            Listener(net.next(), lambda r, w, n=n: self.serve(n, r, w)) for n in range(int(scene.fleet.balancers))
+        ]
         self.open_now: dict[Attempt, None] = {}
         self.draining = False
 
@@ -131,8 +149,9 @@
         if isinstance(a, Attempt) and not a.done.done():
             a.done.set_result(what)
 
-    async def command(self, balancer: int, line: str, reader: asyncio.StreamReader,
-                      writer: asyncio.StreamWriter) -> None:
+    async def command(
+        self, balancer: int, line: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         _, id_, _, pairs = line.split()
         fields = dict(p.split("=", 1) for p in pairs.split(","))
         row = self.rows[id_]
@@ -163,7 +182,7 @@
                 await self.stand(a, row, reader, writer)
             else:
                 self.over(a, "self")
-                if (answer := REFUSED.get(a.done.result())):
+                if answer := REFUSED.get(a.done.result()):
                     writer.write(answer)
                     await writer.drain()
                 else:
@@ -173,8 +192,14 @@
 
     async def stand(self, a: Attempt, row: Row, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         f = self.scene.classes[row.kind]
-        c = a.connection = Connection(None, a, a.balancer, row.kind, row.group,  # type: ignore[arg-type]
-                                      float(f.worth) * row.weight)
+        c = a.connection = Connection(
+            None,
+            a,
+            a.balancer,
+            row.kind,
+            row.group,  # type: ignore[arg-type]
+            float(f.worth) * row.weight,
+        )
         if not self.model.open(self.engine.now, c, load_at(row, self.engine)):
             cut_off(writer)
             return
@@ -211,7 +236,6 @@
             self.credit(self.rows[a.id], a.connection.earned)
         self.history.note(self.party, "over", a.id, by=by, balancer=a.balancer)
 
-
     def day_begins(self) -> None:
         """What was served until now is no part of the day."""
         self.model.advance(self.engine.now)
--- a/glenrock/stage/judge.py
+++ b/glenrock/stage/judge.py
@@ -158,8 +158,13 @@
             tell(h, v, "cut_off", e, f"ended by {e.data['how']} without MOVE", near, where)
 
 
-CHECKS: dict[str, Check] = {"answered": answered, "repeated": repeated, "drained": drained, "cold": cold,
-                            "cut_off": cut_off}
+CHECKS: dict[str, Check] = {
+    "answered": answered,
+    "repeated": repeated,
+    "drained": drained,
+    "cold": cold,
+    "cut_off": cut_off,
+}
 
 
 def register(checks: dict[str, Check]) -> None:
--- a/glenrock/stage/judge_together.py
+++ b/glenrock/stage/judge_together.py
@@ -50,8 +50,10 @@
         else:
             spells.append((e.at, e.at))
     # Within one instant who comes is counted before who goes: a spell of one look has both.
-    edges = sorted(((at, step, n) for n, spells in away.items() for begin, end in spells
-                   for at, step in ((begin, 1), (end, -1))), key=lambda edge: (edge[0], -edge[1]))
+    edges = sorted(
+        ((at, step, n) for n, spells in away.items() for begin, end in spells for at, step in ((begin, 1), (end, -1))),
+        key=lambda edge: (edge[0], -edge[1]),
+    )
     v.seen["tickets"] += len(edges) // 2
     out: set[int] = set()
     for at, step, n in edges:
@@ -105,13 +107,16 @@
         if after and (owner in spell.parties):
             gaps[spell.kind].append(round((after[0] - spell.begin) / 1e6, 3))
     effects = list(h.each("effect"))
-    return {"terms": len(began), "taken": sum(e.data["ok"] for e in effects),
-            "late": sum(not e.data["ok"] and e.data["term"] < e.data["seen"] for e in effects)
-            + sum(1 for _ in h.each("mark refused")),
-            "struck": sum(s.kind in ("kill", "pause", "way", "stop", "store_fault") for s in h.spells),
-            "until_next_term_s": dict(gaps),
-            "told": sum(1 for e in h.each("heard") if e.data["status"] == 200),
-            "told_later": sum(1 for e in h.each("heard") if e.data["status"] == 202),
-            "not_heard": sum(1 for e in h.each("heard") if e.data["status"] not in (200, 202)),
-            "drained": sum(1 for e in h.each("drain") if e.data["status"] == 200),
-            "drains_refused": sum(1 for e in h.each("drain") if e.data["status"] == 503)}
+    return {
+        "terms": len(began),
+        "taken": sum(e.data["ok"] for e in effects),
+        "late": sum(not e.data["ok"] and e.data["term"] < e.data["seen"] for e in effects)
+        + sum(1 for _ in h.each("mark refused")),
+        "struck": sum(s.kind in ("kill", "pause", "way", "stop", "store_fault") for s in h.spells),
+        "until_next_term_s": dict(gaps),
+        "told": sum(1 for e in h.each("heard") if e.data["status"] == 200),
+        "told_later": sum(1 for e in h.each("heard") if e.data["status"] == 202),
+        "not_heard": sum(1 for e in h.each("heard") if e.data["status"] not in (200, 202)),
+        "drained": sum(1 for e in h.each("drain") if e.data["status"] == 200),
+        "drains_refused": sum(1 for e in h.each("drain") if e.data["status"] == 503),
+    }
--- a/glenrock/stage/listing.py
+++ b/glenrock/stage/listing.py
@@ -19,8 +19,16 @@
 class Listing:
     """The same names for all balancers, an address for each."""
 
-    def __init__(self, instances: list[Standin], addresses: dict[tuple[int, int], Address], history: History, net: Net,
-                 balancers: int, call_ms: float, line_s: float) -> None:
+    def __init__(
+        self,
+        instances: list[Standin],
+        addresses: dict[tuple[int, int], Address],
+        history: History,
+        net: Net,
+        balancers: int,
+        call_ms: float,
+        line_s: float,
+    ) -> None:
         self.instances, self.addresses, self.history = instances, addresses, history
         self.call_s, self.line_s = call_ms / 1000, line_s
         self.index = 1
@@ -59,12 +67,26 @@
 
     def row(self, balancer: int, s: Standin) -> dict[str, Any]:
         host, port = self.addresses[balancer, s.number]
-        return {"name": s.name, "address": f"{host}:{port}", "zone": s.zone, "type": s.model.shape.kind, "group": 0,
-                "status": self.status[s.number], "weight": 1.0, "since_ms": s.started_ms}
+        return {
+            "name": s.name,
+            "address": f"{host}:{port}",
+            "zone": s.zone,
+            "type": s.model.shape.kind,
+            "group": 0,
+            "status": self.status[s.number],
+            "weight": 1.0,
+            "since_ms": s.started_ms,
+        }
 
     def answer(self, balancer: int, since: int | None) -> dict[str, Any]:
-        there = [s for s in self.instances if since is not None and self.changed_at[s.number] > since
-                 or since is None and self.status[s.number] != "DELETED"]
+        there = [
+            s
+            for s in self.instances
+            if since is not None
+            and self.changed_at[s.number] > since
+            or since is None
+            and self.status[s.number] != "DELETED"
+        ]
         return {"index": self.index, "snapshot": since is None, "endpoints": [self.row(balancer, s) for s in there]}
 
     async def serve(self, balancer: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -101,8 +123,7 @@
             for s in self.instances:
                 if any(row["name"] == s.name for row in body["endpoints"]):
                     s.told_start[balancer] = s.started_ms
-                    self.history.note("list", "told", balancer=balancer, instance=s.party,
-                                      status=self.status[s.number])
+                    self.history.note("list", "told", balancer=balancer, instance=s.party, status=self.status[s.number])
 
     async def line(self) -> bool:
         """A turn in the line of calls; False for one that has waited too long. The service works on for it."""
@@ -128,6 +149,9 @@
 
     async def say(self, writer: asyncio.StreamWriter, status: int, body: dict[str, Any]) -> None:
         data = json.dumps(body).encode()
-        writer.write(f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: application/json\r\n"
-                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+        writer.write(
+            f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n".encode()
+            + data
+        )
         await writer.drain()
--- a/glenrock/stage/processes.py
+++ b/glenrock/stage/processes.py
@@ -56,8 +56,14 @@
         for name in ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_ADMIN", "LB_ACCEPT_FD"):
             env.pop(name, None)
         with open(self.folder / "log", "ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-B", "-m", "glenrock"], env=env, stdin=subprocess.DEVNULL,
-                                            stdout=log, stderr=log, preexec_fn=self.bound)
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", "glenrock"],
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self.bound,
+            )
         self.lives += 1
         self.paused = False
         self.history.note(self.name, "started", life=self.lives, pid=self.process.pid)
@@ -98,8 +104,9 @@
         os.sched_setaffinity(self.process.pid, {core})
         with contextlib.suppress(PermissionError):
             os.setpriority(os.PRIO_PROCESS, self.process.pid, nice)
-        self.neighbour = subprocess.Popen([sys.executable, "-S", "-c", BURN], preexec_fn=lambda: (
-            die_with_parent(), os.sched_setaffinity(0, {core})))
+        self.neighbour = subprocess.Popen(
+            [sys.executable, "-S", "-c", BURN], preexec_fn=lambda: (die_with_parent(), os.sched_setaffinity(0, {core}))
+        )
         self.history.note(self.name, "squeezed", nice=nice, core=core)
 
     def loosen(self, cores: set[int]) -> None:
@@ -148,6 +155,6 @@
                 data = log.read()
         except OSError:
             return
-        whole = data[:data.rfind(b"\n") + 1]
+        whole = data[: data.rfind(b"\n") + 1]
         self.read += len(whole)
         yield from whole.decode("utf-8", "replace").splitlines()
--- a/glenrock/stage/relays.py
+++ b/glenrock/stage/relays.py
@@ -57,7 +57,7 @@
                 return
             step = max(1, int(state.trickle * LOOK_S)) if state.trickle else len(chunk)
             for at in range(0, len(chunk), step):
-                writer.write(chunk[at:at + step])
+                writer.write(chunk[at : at + step])
                 await writer.drain()
                 if state.trickle:
                     await asyncio.sleep(LOOK_S)
@@ -101,8 +101,10 @@
             return
         pair = (writer, onward)
         self.pairs.add(pair)
-        pumps = [asyncio.ensure_future(self.there.pump(reader, onward)),
-                 asyncio.ensure_future(self.back.pump(there, writer))]
+        pumps = [
+            asyncio.ensure_future(self.there.pump(reader, onward)),
+            asyncio.ensure_future(self.back.pump(there, writer)),
+        ]
         try:
             done, _ = await asyncio.wait(pumps, return_when=asyncio.FIRST_EXCEPTION)
             if any(p.exception() for p in done):  # an end that was no end of sending is passed on as one
@@ -142,7 +144,8 @@
                 if one != at:
                     address = self.net.next()
                     transport, _ = await loop.create_datagram_endpoint(
-                        lambda one=one, at=at: Door(self, one, at), local_addr=address)
+                        lambda one=one, at=at: Door(self, one, at), local_addr=address
+                    )
                     self.doors[one, at], self.addresses[one, at] = transport, address
 
     def peers_of(self, n: int) -> list[str]:
--- a/glenrock/stage/run.py
+++ b/glenrock/stage/run.py
@@ -48,8 +48,9 @@
 class Stage:
     """One run of a scene, drawn by its seed. All of it lives in one event loop but the balancers' processes."""
 
-    def __init__(self, scene: Scene, seed: int, folder: Path, live: Callable[[Stage], None] | None = None,
-                 net: Net | None = None) -> None:
+    def __init__(
+        self, scene: Scene, seed: int, folder: Path, live: Callable[[Stage], None] | None = None, net: Net | None = None
+    ) -> None:
         self.scene = scene = lab.drawn(scene, seed)  # type: ignore[assignment]
         self.seed, self.folder, self.live, self.net = seed, folder, live, net or Net()
         self.streams = streams = Streams(seed)
@@ -87,18 +88,47 @@
             return mean * work() if spread else mean
 
         self.instances = [
-            Standin(n, f"s-{n:03d}", shape, self.figures, scene, self.engine, self.history, self.rows, self.net, noise,
-                    self.earn, work_of, self.measure.credit) for n, shape in enumerate(self.shapes)]
-        addresses = {(b, s.number): self.way(f"balancer:{b}", s.party, s.address(b))
-                     for b in range(self.count) for s in self.instances}
-        self.listing = Listing(self.instances, addresses, self.history, self.net, self.count, r.call_ms,
-                               float(r.line_s))
+            Standin(
+                n,
+                f"s-{n:03d}",
+                shape,
+                self.figures,
+                scene,
+                self.engine,
+                self.history,
+                self.rows,
+                self.net,
+                noise,
+                self.earn,
+                work_of,
+                self.measure.credit,
+            )
+            for n, shape in enumerate(self.shapes)
+        ]
+        addresses = {
+            (b, s.number): self.way(f"balancer:{b}", s.party, s.address(b))
+            for b in range(self.count)
+            for s in self.instances
+        }
+        self.listing = Listing(
+            self.instances, addresses, self.history, self.net, self.count, r.call_ms, float(r.line_s)
+        )
         struck = any(f.source[:4] == f.target[:4] for f in self.ways.planned) or scene.together.store
         self.post = Post(self.ways, self.net, self.count, self.seed, bool(struck) or self.count <= MOST_RELAYED)
         fronts = [self.way("clients", f"balancer:{b}", self.net.balancer(b)) for b in range(self.count)]
         self.front = Front(fronts, float(scene.front.notice_s), r.admit_s, self.history, self.seed)
-        self.clients = Clients(scene, self.plan.rows, self.front, fronts, Habits(scene.clients, self.streams),
-                               self.engine, self.history, self.rows, self.measure.counts, self.measure.waits)
+        self.clients = Clients(
+            scene,
+            self.plan.rows,
+            self.front,
+            fronts,
+            Habits(scene.clients, self.streams),
+            self.engine,
+            self.history,
+            self.rows,
+            self.measure.counts,
+            self.measure.waits,
+        )
         self.together: Together | None = None
         if scene.together.store:
             from .together import Together  # aiohttp is loaded here
@@ -125,10 +155,17 @@
         more = self.together.config(n) if self.together else {}
         if self.scene.rig.known:
             more["known"] = self.listing.answer(n, None)
-        return {"name": f"n{n}", "listen": f"{listen[0]}:{listen[1]}", "discovery": f"{host}:{port}",
-                "seed": f"{self.seed * 1000 + n:x}", "limits": {"sockets": self.scene.rig.sockets},
-                "settings": config.settings(told, tuple(t.name for t in self.scene.tenants)),
-                "peer_listen": f"{peer[0]}:{peer[1]}", "peers": self.post.peers_of(n), **more}
+        return {
+            "name": f"n{n}",
+            "listen": f"{listen[0]}:{listen[1]}",
+            "discovery": f"{host}:{port}",
+            "seed": f"{self.seed * 1000 + n:x}",
+            "limits": {"sockets": self.scene.rig.sockets},
+            "settings": config.settings(told, tuple(t.name for t in self.scene.tenants)),
+            "peer_listen": f"{peer[0]}:{peer[1]}",
+            "peers": self.post.peers_of(n),
+            **more,
+        }
 
     async def open(self) -> None:
         for s in self.instances:
@@ -138,8 +175,9 @@
         if self.together:
             await self.together.open()
         for n in range(self.count):
-            self.balancers.append(Balancer(n, self.folder / f"balancer-{n}", self.config(n), self.history,
-                                           self.scene.rig.memory_mb))
+            self.balancers.append(
+                Balancer(n, self.folder / f"balancer-{n}", self.config(n), self.history, self.scene.rig.memory_mb)
+            )
         for relay in self.relays:
             relay.open()
         self.started = asyncio.get_running_loop().time()
@@ -152,8 +190,10 @@
         while len(self.front.known) < self.count:
             if asyncio.get_running_loop().time() > until:
                 missing = sorted(set(range(self.count)) - self.front.known)
-                raise NotReady(f"balancer {missing[0]} did not answer PING in time; its log: "
-                               f"{self.balancers[missing[0]].folder / 'log'}")
+                raise NotReady(
+                    f"balancer {missing[0]} did not answer PING in time; its log: "
+                    f"{self.balancers[missing[0]].folder / 'log'}"
+                )
             await asyncio.sleep(0.02)
         self.clients.place(self.count, [s.name for s in self.instances])
         until = asyncio.get_running_loop().time() + STANDING_S
@@ -192,8 +232,13 @@
             self.end()
             if self.together:
                 await self.together.close()
-        figures = judge.Figures(self.scene.rules.drain_grace_ms, self.scene.rules.answer_grace_ms,
-                                self.scene.together.turnstile, self.history.events[-1].at, tuple(self.apart))
+        figures = judge.Figures(
+            self.scene.rules.drain_grace_ms,
+            self.scene.rules.answer_grace_ms,
+            self.scene.together.turnstile,
+            self.history.events[-1].at,
+            tuple(self.apart),
+        )
         verdict = judge.judge(self.history, figures)
         return self.summary(verdict, time.monotonic() - wall, time.process_time() - cpu)
 
@@ -215,11 +260,18 @@
             for line in b.log_lines():
                 self.history.note(b.name, "log", text=line)
         if n < m.seconds:
-            m.put(n, load=load / self.plan.capacity, standing=float(self.clients.standing()), cap=float("nan"),
-                  line=float(self.clients.waiting()), refused=float(m.counts["refused"]),
-                  attempts=float(sum(s.attempts for s in self.instances)), broken=float(m.counts["broken"]),
-                  up=float(sum(s.model.up for s in self.instances)),
-                  balancers=float(sum(b.up and not b.paused for b in self.balancers)))
+            m.put(
+                n,
+                load=load / self.plan.capacity,
+                standing=float(self.clients.standing()),
+                cap=float("nan"),
+                line=float(self.clients.waiting()),
+                refused=float(m.counts["refused"]),
+                attempts=float(sum(s.attempts for s in self.instances)),
+                broken=float(m.counts["broken"]),
+                up=float(sum(s.model.up for s in self.instances)),
+                balancers=float(sum(b.up and not b.paused for b in self.balancers)),
+            )
         if self.live:
             self.live(self)
 
@@ -238,8 +290,13 @@
         """What a start cost at the list service; seconds from when the first process was started."""
         heard = sorted(round(at - self.started, 3) for at in self.listing.heard.values())
         part = {f"p{q}_s": heard[max(0, q * len(heard) // 100 - 1)] if heard else None for q in (50, 95, 100)}
-        return {"heard": len(heard), **part, "calls": self.listing.calls, "refused": self.listing.refused,
-                "longest_line": self.listing.longest}
+        return {
+            "heard": len(heard),
+            **part,
+            "calls": self.listing.calls,
+            "refused": self.listing.refused,
+            "longest_line": self.listing.longest,
+        }
 
     # -- what it came to -----------------------------------------------------------------------------
 
@@ -253,33 +310,71 @@
         first = max(1, c["clients"])
         rules = {name: sum(b.rule == name for b in v.breaches) for name in judge.CHECKS}
         day, lease_us = self.engine.day, round(self.scene.together.lease_ms * 1000)
-        faults = [{"kind": s.kind, "from_s": rounded((s.begin - day) / S),
-                   "to_s": rounded(min(self.length_s, (s.end - day) / S))}
-                  for s in self.history.spells if s.begin - day < self.length_s * S]
+        faults = [
+            {
+                "kind": s.kind,
+                "from_s": rounded((s.begin - day) / S),
+                "to_s": rounded(min(self.length_s, (s.end - day) / S)),
+            }
+            for s in self.history.spells
+            if s.begin - day < self.length_s * S
+        ]
         return {
-            "format": 1, "experiment": self.scene.name, "seed": self.seed, "policy": "processes", "failure": "",
-            "worth": m.worth(), "rules": rules, "excused": dict(v.excused), "seen": dict(v.seen),
-            "breaches": [{"rule": b.rule, "at_s": rounded((b.at - day) / S), "text": b.text, "request": b.id,
-                          "balancer": b.balancer, "instance": b.instance, "led": list(b.led)}
-                         for b in v.breaches[:20]],
-            "recovery_s": m.recovery(faults), "counts": dict(c),
-            "per_client": {k: rounded(c[k] / first) for k in (
-                "tries", "attempts", "refused", "failed", "broken", "moved", "probes", "peer_bytes")},
-            "crossing_part": 0.0, "fairness": m.fairness(),
+            "format": 1,
+            "experiment": self.scene.name,
+            "seed": self.seed,
+            "policy": "processes",
+            "failure": "",
+            "worth": m.worth(),
+            "rules": rules,
+            "excused": dict(v.excused),
+            "seen": dict(v.seen),
+            "breaches": [
+                {
+                    "rule": b.rule,
+                    "at_s": rounded((b.at - day) / S),
+                    "text": b.text,
+                    "request": b.id,
+                    "balancer": b.balancer,
+                    "instance": b.instance,
+                    "led": list(b.led),
+                }
+                for b in v.breaches[:20]
+            ],
+            "recovery_s": m.recovery(faults),
+            "counts": dict(c),
+            "per_client": {
+                k: rounded(c[k] / first)
+                for k in ("tries", "attempts", "refused", "failed", "broken", "moved", "probes", "peer_bytes")
+            },
+            "crossing_part": 0.0,
+            "fairness": m.fairness(),
             "setup": {k.name: told(h) for k, h in zip(self.scene.classes, m.waits, strict=True)},
-            "messages": told(m.messages), "refusals": told(m.refusals),
-            "fleet": {"balancers": self.count, "instances": len(self.instances),
-                      "capacity_cores": rounded(self.plan.capacity / S), "clients_per_s": rounded(self.plan.per_s)},
+            "messages": told(m.messages),
+            "refusals": told(m.refusals),
+            "fleet": {
+                "balancers": self.count,
+                "instances": len(self.instances),
+                "capacity_cores": rounded(self.plan.capacity / S),
+                "clients_per_s": rounded(self.plan.per_s),
+            },
             "list": self.told(),
-            "processes": {b.name: {"lives": b.lives, "cpu_s": rounded(self.cpu.get(b.number, 0.0))}
-                          for b in self.balancers},
+            "processes": {
+                b.name: {"lives": b.lives, "cpu_s": rounded(self.cpu.get(b.number, 0.0))} for b in self.balancers
+            },
             **({"together": judged.figures(self.history, lease_us)} if self.together else {}),
-            "clock": {"wall_s": round(wall_s, 3), "cpu_s": round(cpu_s, 3), "cores": os.cpu_count() or 1,
-                      "events": len(self.history.events)}}
+            "clock": {
+                "wall_s": round(wall_s, 3),
+                "cpu_s": round(cpu_s, 3),
+                "cores": os.cpu_count() or 1,
+                "events": len(self.history.events),
+            },
+        }
 
 
-def play(scene: Scene, seed: int, folder: Path, live: Callable[[Stage], None] | None = None,
-         net: Net | None = None) -> tuple[Stage, dict[str, Any]]:
+def play(
+    scene: Scene, seed: int, folder: Path, live: Callable[[Stage], None] | None = None, net: Net | None = None
+) -> tuple[Stage, dict[str, Any]]:
     """Plays a scene in this process's own loop. Raises NotReady."""
     stage = Stage(scene, seed, folder, live, net)
     return stage, asyncio.run(stage.play())
--- a/glenrock/stage/spec.py
+++ b/glenrock/stage/spec.py
@@ -200,11 +200,17 @@
         if isinstance(f, Way):
             for end in ("source", "target"):
                 kind, _, which = getattr(f, end).partition(":")
-                need(not which or which == "*" or int(which) < counts[kind], f"faults[{n}].{end}",
-                     f"there is no {kind} {which} on every day")
+                need(
+                    not which or which == "*" or int(which) < counts[kind],
+                    f"faults[{n}].{end}",
+                    f"there is no {kind} {which} on every day",
+                )
             ends = {re.sub(":.*", "", f.source), re.sub(":.*", "", f.target)}
-            need(ends in WAYS and ("store" not in ends or e.together.store == "consul"), f"faults[{n}]",
-                 f"nothing goes from {f.source} to {f.target}")
+            need(
+                ends in WAYS and ("store" not in ends or e.together.store == "consul"),
+                f"faults[{n}]",
+                f"nothing goes from {f.source} to {f.target}",
+            )
 
 
 WAYS = ({"clients", "balancer"}, {"balancer", "instance"}, {"balancer", "list"}, {"balancer", "store"}, {"balancer"})
--- a/glenrock/stage/together.py
+++ b/glenrock/stage/together.py
@@ -50,9 +50,12 @@
             store |= {"addresses": [f"{host}:{port}"], "shortest_ms": t.lease_ms}
         else:
             store["path"] = str(self.path)
-        tables = {"store": store, "lease": {"lease_ms": t.lease_ms, "drift": t.drift, "ask_ms": t.ask_ms},
-                  "jobs": {"bans": t.bans, "turnstile": t.turnstile, "probe_shards": t.probe_shards},
-                  "start": {"keep": t.keep, "spaced": t.spaced, "sound_ms": t.sound_ms}}
+        tables = {
+            "store": store,
+            "lease": {"lease_ms": t.lease_ms, "drift": t.drift, "ask_ms": t.ask_ms},
+            "jobs": {"bans": t.bans, "turnstile": t.turnstile, "probe_shards": t.probe_shards},
+            "start": {"keep": t.keep, "spaced": t.spaced, "sound_ms": t.sound_ms},
+        }
         lines = [f"folder = {json.dumps(str(folder))}"]
         for name, values in tables.items():
             lines += [f"[{name}]", *(f"{key} = {json.dumps(value)}" for key, value in values.items())]
@@ -95,8 +98,10 @@
                     value = lock_value(e.told(key))
                     found[unescape_key(key.rpartition("/")[2])] = value.term, value.holder
             return found
-        with contextlib.suppress(sqlite3.Error), contextlib.closing(
-                sqlite3.connect(f"file:{self.path}?mode=ro", uri=True, timeout=0)) as db:
+        with (
+            contextlib.suppress(sqlite3.Error),
+            contextlib.closing(sqlite3.connect(f"file:{self.path}?mode=ro", uri=True, timeout=0)) as db,
+        ):
             return {job: (term, holder) for job, term, holder in db.execute("SELECT job, term, holder FROM lease")}
         return {}
 
@@ -111,8 +116,16 @@
         """A datagram that a balancer has sent, whatever becomes of it."""
         m = datagrams.decode(data) if data[:1] >= b"\xf1" else None
         if isinstance(m, datagrams.Acknowledgement) and m.number:
-            self.stage.history.note(f"balancer:{sender}", "effect", job=m.job, term=m.term, number=m.number,
-                                    ok=m.accepted, seen=m.seen_term, order=m.order)
+            self.stage.history.note(
+                f"balancer:{sender}",
+                "effect",
+                job=m.job,
+                term=m.term,
+                number=m.number,
+                ok=m.accepted,
+                seen=m.seen_term,
+                order=m.order,
+            )
         elif isinstance(m, datagrams.Acknowledgement):
             self.stage.history.note(f"balancer:{sender}", "mark refused", job=m.job, term=m.term, seen=m.seen_term)
 
@@ -136,8 +149,15 @@
         name = self.stage.instances[instance].name
         self.stage.history.note("operator", "says", balancer=n, instance=f"instance:{instance}", out=out)
         status, text = await self.call(n, "POST", f"/v1/session-servers/{name}/{'suspend' if out else 'resume'}")
-        self.stage.history.note("operator", "heard", balancer=n, instance=f"instance:{instance}", out=out,
-                                status=status, text=text.strip()[:100])
+        self.stage.history.note(
+            "operator",
+            "heard",
+            balancer=n,
+            instance=f"instance:{instance}",
+            out=out,
+            status=status,
+            text=text.strip()[:100],
+        )
 
     async def ticket(self, n: int, for_s: float) -> None:
         status, text = await self.call(n, "POST", "/v1/balancer/drain")
@@ -153,9 +173,11 @@
         while True:
             views = {b.number: await self.view(b.number) for b in self.stage.balancers if b.up and not b.paused}
             words = {n: {s: w["out"] for s, w in v.get("words", {}).items()} for n, v in views.items()}
-            apart = [f"balancer {n}: {w or views[n].get('store', 'no answer')}" for n, w in words.items()
-                     if w != next(iter(words.values())) or not views[n] or views[n]["wishes"]]
+            apart = [
+                f"balancer {n}: {w or views[n].get('store', 'no answer')}"
+                for n, w in words.items()
+                if w != next(iter(words.values())) or not views[n] or views[n]["wishes"]
+            ]
             if not apart or asyncio.get_running_loop().time() > until:
                 return apart
             await asyncio.sleep(0.1)
-
--- a/glenrock/stage/ways.py
+++ b/glenrock/stage/ways.py
@@ -46,9 +46,14 @@
         for name in kept:
             kept[name] *= 1 - float(getattr(f, name))
     slow = [float(f.trickle) for f in found if f.trickle]
-    return State(*(1 - kept[name] for name in kept), sum(float(f.delay_ms) for f in found) / 1000,
-                 sum(float(f.jitter_ms) for f in found) / 1000, min(slow, default=0.0),
-                 any(f.cut for f in found), any(f.reset for f in found))
+    return State(
+        *(1 - kept[name] for name in kept),
+        sum(float(f.delay_ms) for f in found) / 1000,
+        sum(float(f.jitter_ms) for f in found) / 1000,
+        min(slow, default=0.0),
+        any(f.cut for f in found),
+        any(f.reset for f in found),
+    )
 
 
 @dataclass(slots=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,8 +10,15 @@
 
 
 def settings(**over) -> interface.Settings:
-    base = dict(classes=(interface.RequestClass("read", 300_000, 1_000_000, 60_000),), balancers=4, tick_us=4000,
-                max_attempts=4, may_cancel=True, may_gossip=True, max_retry_after_us=2 * SECOND)
+    base = dict(
+        classes=(interface.RequestClass("read", 300_000, 1_000_000, 60_000),),
+        balancers=4,
+        tick_us=4000,
+        max_attempts=4,
+        may_cancel=True,
+        may_gossip=True,
+        max_retry_after_us=2 * SECOND,
+    )
     base.update(over)
     return interface.Settings(**base)
 
@@ -76,4 +83,5 @@
         h = Harness(settings(**over), seed)
         h.servers(*names)
         return h
+
     return build
--- a/tests/lab/days.py
+++ b/tests/lab/days.py
@@ -13,10 +13,14 @@
 from glenrock.toml_file import InputFileError
 
 SMALL: dict[str, Any] = {
-    "name": "small", "length_s": 12.0, "drain_s": 4.0, "fleet": {"balancers": 2, "instances": 4},
+    "name": "small",
+    "length_s": 12.0,
+    "drain_s": 4.0,
+    "fleet": {"balancers": 2, "instances": 4},
     "traffic": {"life_s": 8.0, "connections_per_core": 8.0, "load": 0.3},
     "classes": [{"name": "lookup", "worth": 5.0}, {"name": "browse", "load": 2.0, "life": 0.5}],
-    "tenants": [{"name": "one", "share": 2.0}, {"name": "two"}]}
+    "tenants": [{"name": "one", "share": 2.0}, {"name": "two"}],
+}
 PATH = Path("experiment.toml")
 
 
--- a/tests/lab/test_by_hand.py
+++ b/tests/lab/test_by_hand.py
@@ -38,8 +38,11 @@
 
 @pytest.mark.parametrize("policy", ["glenrock", "random"])
 def test_a_balancer_that_is_sent_away_is_empty_in_three_seconds_and_comes_back(policy: str) -> None:
-    d = day(policy=policy, faults=[{"kind": "send_away", "at_s": 2.0, "for_s": 4.0, "balancer": 1}],
-            fleet={"balancers": 2, "zones": ["a"]})
+    d = day(
+        policy=policy,
+        faults=[{"kind": "send_away", "at_s": 2.0, "for_s": 4.0, "balancer": 1}],
+        fleet={"balancers": 2, "zones": ["a"]},
+    )
     d.prepare()
     d.engine.run(d.begin_us + 2_000_001)
     before = len(d.standing)
--- a/tests/lab/test_conservation.py
+++ b/tests/lab/test_conservation.py
@@ -15,22 +15,51 @@
 PARTS = st.sampled_from([0.1, 0.3, 0.6, 1.0])
 TIMES = st.floats(0.5, 8.0)
 FAULTS = st.one_of(
-    st.builds(lambda at, part, down: {"kind": "crash", "at_s": at, "part": part, "down_s": down},
-              TIMES, PARTS, st.sampled_from([0.0, 0.2, 2.0])),
+    st.builds(
+        lambda at, part, down: {"kind": "crash", "at_s": at, "part": part, "down_s": down},
+        TIMES,
+        PARTS,
+        st.sampled_from([0.0, 0.2, 2.0]),
+    ),
     st.builds(lambda at, for_s: {"kind": "zone_cut", "at_s": at, "for_s": for_s}, TIMES, st.floats(0.5, 8.0)),
-    st.builds(lambda at, back: {"kind": "balancer_roll", "at_s": at, "for_s": 3.0, "part": 1.0, "batch": 0.3,
-                                "down_s": 0.5, "hand_back_s": back}, TIMES, st.sampled_from([0.0, 1.0])),
+    st.builds(
+        lambda at, back: {
+            "kind": "balancer_roll",
+            "at_s": at,
+            "for_s": 3.0,
+            "part": 1.0,
+            "batch": 0.3,
+            "down_s": 0.5,
+            "hand_back_s": back,
+        },
+        TIMES,
+        st.sampled_from([0.0, 1.0]),
+    ),
     st.builds(lambda at, part: {"kind": "reconnect", "at_s": at, "part": part, "within_s": 0.5}, TIMES, PARTS),
-    st.builds(lambda at, speed: {"kind": "slow", "at_s": at, "part": 0.5, "speed": speed, "for_s": 3.0},
-              TIMES, st.sampled_from([0.0, 0.1, 0.5])),
+    st.builds(
+        lambda at, speed: {"kind": "slow", "at_s": at, "part": 0.5, "speed": speed, "for_s": 3.0},
+        TIMES,
+        st.sampled_from([0.0, 0.1, 0.5]),
+    ),
     st.builds(lambda at: {"kind": "discovery_silence", "at_s": at, "for_s": 5.0}, TIMES),
     st.builds(lambda at: {"kind": "stale_list", "at_s": at, "for_s": 5.0, "age_s": 3.0}, TIMES),
     st.builds(lambda at: {"kind": "flash_crowd", "at_s": at, "times": 6.0, "for_s": 2.0}, TIMES),
-    st.builds(lambda at: {"kind": "drains", "at_s": at, "part": 0.6, "batch": 0.3, "every_s": 2.0,
-                          "drain_s": 1.5, "down_s": 0.5}, TIMES),
+    st.builds(
+        lambda at: {
+            "kind": "drains",
+            "at_s": at,
+            "part": 0.6,
+            "batch": 0.3,
+            "every_s": 2.0,
+            "drain_s": 1.5,
+            "down_s": 0.5,
+        },
+        TIMES,
+    ),
     st.builds(lambda at: {"kind": "by_hand", "at_s": at, "for_s": 4.0, "restart_s": 2.0, "down_s": 0.5}, TIMES),
     st.builds(lambda at: {"kind": "send_away", "at_s": at, "for_s": 3.5}, TIMES),
-    st.builds(lambda at: {"kind": "peer_loss", "at_s": at, "loss": 0.7, "for_s": 4.0}, TIMES))
+    st.builds(lambda at: {"kind": "peer_loss", "at_s": at, "loss": 0.7, "for_s": 4.0}, TIMES),
+)
 
 
 @st.composite
@@ -38,12 +67,18 @@
     over = {
         "fleet": {"balancers": draw(st.integers(1, 4)), "instances": draw(st.integers(1, 6))},
         "traffic": {"load": draw(st.sampled_from([0.1, 0.5, 1.2])), "group_cost": draw(st.sampled_from([0.0, 2.0]))},
-        "kinds": [{"name": "k", "sheds": draw(st.sampled_from(["none", "newest", "heaviest"])),
-                   "queue_per_core": draw(st.sampled_from([0.3, 5.0])),
-                   "connections_per_core": draw(st.sampled_from([3.0, 500.0]))}],
+        "kinds": [
+            {
+                "name": "k",
+                "sheds": draw(st.sampled_from(["none", "newest", "heaviest"])),
+                "queue_per_core": draw(st.sampled_from([0.3, 5.0])),
+                "connections_per_core": draw(st.sampled_from([3.0, 500.0])),
+            }
+        ],
         "discovery": {"mode": draw(st.sampled_from(["push", "ask"])), "ask_failures": 0.2, "notice_s": 1.0},
         "clients": {"impatient": draw(st.sampled_from([0.0, 0.3]))},
-        "faults": draw(st.lists(FAULTS, max_size=3))}
+        "faults": draw(st.lists(FAULTS, max_size=3)),
+    }
     return over, draw(st.integers(0, 10_000)), draw(st.sampled_from(["glenrock", "random", "least", "prequal"]))
 
 
@@ -101,7 +136,8 @@
     over = {"faults": [{"kind": "crash", "at_s": 3.0, "part": 0.5}]}
     one, two = (Day(experiment(**over), 5, p) for p in ("random", "glenrock"))
     assert [(r.arrival, r.end, r.kind, r.usual, r.changes) for r in one.plan.rows] == [
-        (r.arrival, r.end, r.kind, r.usual, r.changes) for r in two.plan.rows]
+        (r.arrival, r.end, r.kind, r.usual, r.changes) for r in two.plan.rows
+    ]
     struck = []
     for d in (one, two):
         d.prepare()
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -72,8 +72,7 @@
 def test_a_cut_zone_is_reached_by_nobody_else_and_its_links_carry_nothing() -> None:
     d = with_fault(kind="zone_cut", at_s=3.0, for_s=4.0, zone="b")
     at(d, 3.0)
-    crossing = [c for i in d.instances.values() for c in i.held.values()
-                if d.hosts[c.host].zone != i.shape.zone]
+    crossing = [c for i in d.instances.values() for c in i.held.values() if d.hosts[c.host].zone != i.shape.zone]
     assert crossing and all(c.muted and c.load == 0 for c in crossing)
     assert not d.links.open(0, 1) and d.links.open(1, 1)
     seen = {c: c.earned for c in crossing}
@@ -93,14 +92,16 @@
 
     d = with_fault(make=Across, kind="zone_cut", at_s=1.0, for_s=10.0)
     at(d, 5.0)
-    ends = [e for e in d.hosts[0].decisions.events
-            if isinstance(e, interface.AttemptEnded) and e.outcome == "no_connection"]
+    ends = [
+        e for e in d.hosts[0].decisions.events if isinstance(e, interface.AttemptEnded) and e.outcome == "no_connection"
+    ]
     assert ends and all(e.latency_us == 200_000 for e in ends)
 
 
 def test_a_roll_restarts_balancers_in_batches_with_nothing_but_the_list() -> None:
-    d = with_fault(kind="balancer_roll", at_s=2.0, for_s=4.0, part=1.0, batch=0.25, down_s=0.5,
-                   over={"fleet": {"balancers": 4}})
+    d = with_fault(
+        kind="balancer_roll", at_s=2.0, for_s=4.0, part=1.0, batch=0.25, down_s=0.5, over={"fleet": {"balancers": 4}}
+    )
     down = []
     for n in range(24):
         at(d, 2.05 + n * 0.25)
@@ -132,7 +133,8 @@
     whole = [i.capacity(d.engine.now) for i in d.instances.values()]
     at(d, 2.1)
     assert sorted(i.capacity(d.engine.now) / w for i, w in zip(d.instances.values(), whole, strict=True)) == (
-        pytest.approx([0.25, 0.25, 1, 1]))
+        pytest.approx([0.25, 0.25, 1, 1])
+    )
     at(d, 5.1)
     assert [i.capacity(d.engine.now) for i in d.instances.values()] == pytest.approx(whole)
 
@@ -144,9 +146,13 @@
 
 
 def test_silent_discovery_tells_it_all_afterwards() -> None:
-    d = day(faults=[{"kind": "discovery_silence", "at_s": 1.0, "for_s": 6.0},
-                    {"kind": "crash", "at_s": 2.0, "part": 0.5, "down_s": 0.0}],
-            discovery={"notice_s": 0.5})
+    d = day(
+        faults=[
+            {"kind": "discovery_silence", "at_s": 1.0, "for_s": 6.0},
+            {"kind": "crash", "at_s": 2.0, "part": 0.5, "down_s": 0.0},
+        ],
+        discovery={"notice_s": 0.5},
+    )
     d.prepare()
     at(d, 6.9)
     assert all(r.state == "ready" for r in d.hosts[0].last.values())
@@ -155,11 +161,15 @@
 
 
 def test_a_stale_list_is_what_balancers_start_with() -> None:
-    d = day(faults=[{"kind": "crash", "at_s": 1.0, "part": 0.5, "down_s": 0.0},
-                    {"kind": "discovery_silence", "at_s": 4.0, "for_s": 8.0},
-                    {"kind": "stale_list", "at_s": 4.0, "for_s": 4.0, "age_s": 10.0},
-                    {"kind": "balancer_roll", "at_s": 5.0, "for_s": 0.1, "part": 1.0, "batch": 1.0, "down_s": 0.2}],
-            discovery={"notice_s": 0.5})
+    d = day(
+        faults=[
+            {"kind": "crash", "at_s": 1.0, "part": 0.5, "down_s": 0.0},
+            {"kind": "discovery_silence", "at_s": 4.0, "for_s": 8.0},
+            {"kind": "stale_list", "at_s": 4.0, "for_s": 4.0, "age_s": 10.0},
+            {"kind": "balancer_roll", "at_s": 5.0, "for_s": 0.1, "part": 1.0, "batch": 1.0, "down_s": 0.2},
+        ],
+        discovery={"notice_s": 0.5},
+    )
     d.prepare()
     at(d, 4.9)
     assert sum(r.state == "gone" for r in d.hosts[0].last.values()) == 2
@@ -168,13 +178,16 @@
 
 
 def test_a_flash_crowd_and_a_flood_bring_what_they_say() -> None:
-    for fault, whose in (({"kind": "flash_crowd", "times": 5.0}, {0, 1}),
-                         ({"kind": "tenant_flood", "times": 5.0, "tenant": "two"}, {1})):
+    for fault, whose in (
+        ({"kind": "flash_crowd", "times": 5.0}, {0, 1}),
+        ({"kind": "tenant_flood", "times": 5.0, "tenant": "two"}, {1}),
+    ):
         plain = day(traffic={"load": 0.6})
         d = day(faults=[{**fault, "at_s": 4.0, "for_s": 4.0}], traffic={"load": 0.6})
 
         def come(x, tenant, a, b):
             return sum(a <= r.arrival / 1e6 < b and r.tenant == tenant for r in x.plan.rows)
+
         for tenant in (0, 1):
             usual, now = come(plain, tenant, 0, 12) / 12 * 4, come(d, tenant, 4, 8)
             assert now == pytest.approx((5 if tenant in whose else 1) * usual, rel=0.45)
@@ -182,8 +195,16 @@
 
 
 def test_a_deploy_wave_drains_stops_and_starts() -> None:
-    d = with_fault(kind="drains", at_s=1.0, part=0.5, batch=0.25, every_s=3.0, drain_s=2.0, down_s=1.0,
-                   over={"discovery": {"notice_s": 0.3}})
+    d = with_fault(
+        kind="drains",
+        at_s=1.0,
+        part=0.5,
+        batch=0.25,
+        every_s=3.0,
+        drain_s=2.0,
+        down_s=1.0,
+        over={"discovery": {"notice_s": 0.3}},
+    )
     at(d, 1.5)
     (first,) = [i for i in d.instances.values() if i.draining]
     assert first.up and d.hosts[0].last[first.name].state == "draining"
--- a/tests/lab/test_hard_cases.py
+++ b/tests/lab/test_hard_cases.py
@@ -42,17 +42,29 @@
 
 
 def test_an_instance_that_returns_cold_during_a_zone_cut_is_unknown_across_it_until_links_are_whole() -> None:
-    d = day(policy="glenrock", length_s=20.0, fleet={"balancers": 2, "instances": 6},
-            faults=[{"kind": "zone_cut", "at_s": 3.0, "for_s": 8.0},
-                    {"kind": "crash", "at_s": 4.0, "part": 0.5, "down_s": 2.0}], discovery={"notice_s": 0.5})
+    d = day(
+        policy="glenrock",
+        length_s=20.0,
+        fleet={"balancers": 2, "instances": 6},
+        faults=[
+            {"kind": "zone_cut", "at_s": 3.0, "for_s": 8.0},
+            {"kind": "crash", "at_s": 4.0, "part": 0.5, "down_s": 2.0},
+        ],
+        discovery={"notice_s": 0.5},
+    )
     s = d.run()
     assert not s["failure"] and not any(s["rules"].values())
     assert sum(1 for i in d.instances.values() if i.started) == 3
 
 
 def test_a_balancer_killed_with_clients_in_line_loses_the_line_and_answers_afresh() -> None:
-    d = day(policy="glenrock", length_s=20.0, traffic={"load": 1.6}, fleet={"balancers": 1, "instances": 2}, faults=[
-        {"kind": "balancer_roll", "at_s": 10.0, "for_s": 0.1, "part": 1.0, "batch": 1.0, "down_s": 0.5}])
+    d = day(
+        policy="glenrock",
+        length_s=20.0,
+        traffic={"load": 1.6},
+        fleet={"balancers": 1, "instances": 2},
+        faults=[{"kind": "balancer_roll", "at_s": 10.0, "for_s": 0.1, "part": 1.0, "batch": 1.0, "down_s": 0.5}],
+    )
     d.prepare()
     at(d, 9.9)
     (host,) = d.hosts
@@ -66,8 +78,10 @@
 
 
 def test_a_report_may_be_older_than_the_restart_that_it_describes() -> None:
-    d = day(reports={"period_ms": 400.0, "delay_ms": 300.0, "noise": 0.0},
-            faults=[{"kind": "crash", "at_s": 3.0, "part": 1.0, "down_s": 0.1}])
+    d = day(
+        reports={"period_ms": 400.0, "delay_ms": 300.0, "noise": 0.0},
+        faults=[{"kind": "crash", "at_s": 3.0, "part": 1.0, "down_s": 0.1}],
+    )
     d.prepare()
     at(d, 3.15)
     for i in d.instances.values():
@@ -82,8 +96,13 @@
 
 def test_a_retry_that_meets_the_late_answer_of_its_first_try() -> None:
     slow = [{"name": "job", "setup_ms": 300.0, "setup_spread": "fixed"}]
-    d = day(make=Scripted, classes=slow, clients={"impatient": 1.0, "backoff_ms": 1.0}, network={"client_ms": 30.0},
-            kinds=[{"name": "k", "cores": 64}])
+    d = day(
+        make=Scripted,
+        classes=slow,
+        clients={"impatient": 1.0, "backoff_ms": 1.0},
+        network={"client_ms": 30.0},
+        kinds=[{"name": "k", "cores": 64}],
+    )
     s = d.run()
     assert s["counts"]["left"] > 20
     held = [c for i in d.instances.values() for c in i.held.values()]
@@ -120,8 +139,11 @@
             told = [interface.SendGossip(b"%d" % self.now)] if isinstance(e, interface.Request) else []
             return super().on(e) + told
 
-    d = day(make=Teller, network={"peer_ms": 0.0, "peer_loss": 0.0, "cross_ms": 400.0, "jitter": 0.0},
-            faults=[{"kind": "balancer_roll", "at_s": 5.0, "for_s": 0.1, "part": 0.5, "batch": 0.5, "down_s": 3.0}])
+    d = day(
+        make=Teller,
+        network={"peer_ms": 0.0, "peer_loss": 0.0, "cross_ms": 400.0, "jitter": 0.0},
+        faults=[{"kind": "balancer_roll", "at_s": 5.0, "for_s": 0.1, "part": 0.5, "batch": 0.5, "down_s": 3.0}],
+    )
     d.prepare()
     at(d, 5.0)
     (dead,), (alive,) = [h for h in d.hosts if not h.up], [h for h in d.hosts if h.up]
@@ -139,15 +161,22 @@
 
 def test_a_clock_past_2_to_the_53() -> None:
     usual = day(policy="glenrock", seed=2).run()
-    late = day(policy="glenrock", seed=2, clock_start_s=(2 ** 53 + 1) / 1e6 * 1.5).run()
+    late = day(policy="glenrock", seed=2, clock_start_s=(2**53 + 1) / 1e6 * 1.5).run()
     assert not late["failure"] and not any(late["rules"].values())
     assert late["worth"]["whole"] == pytest.approx(usual["worth"]["whole"], abs=0.02)
 
 
-@pytest.mark.parametrize("broken", [
-    "raise ValueError('no')", "return ['nonsense']", "return [interface.StartAttempt('x', 'nowhere:1', 5)]",
-    "return [interface.SendHealthCheck('nowhere:1')]", "return [interface.SendGossip(bytes(257))]",
-    "return [interface.CancelAttempt('x', 0)]"])
+@pytest.mark.parametrize(
+    "broken",
+    [
+        "raise ValueError('no')",
+        "return ['nonsense']",
+        "return [interface.StartAttempt('x', 'nowhere:1', 5)]",
+        "return [interface.SendHealthCheck('nowhere:1')]",
+        "return [interface.SendGossip(bytes(257))]",
+        "return [interface.CancelAttempt('x', 0)]",
+    ],
+)
 def test_a_policy_that_raises_or_asks_for_what_is_not_there_ends_the_run_with_its_reason(broken: str) -> None:
     class Broken(Scripted):
         def on_request(self, e):
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -56,8 +56,9 @@
     s = run(Stubborn, faults=[{"kind": "drains", "at_s": 1.0, "part": 1.0, "batch": 1.0, "drain_s": 30.0}])
     assert "after it was told" in only(s, "drained")["text"]
     # Within the grace it is no breach.
-    s = run(Stubborn, drain_s=2.0,
-            faults=[{"kind": "drains", "at_s": 11.6, "part": 1.0, "batch": 1.0, "drain_s": 30.0}])
+    s = run(
+        Stubborn, drain_s=2.0, faults=[{"kind": "drains", "at_s": 11.6, "part": 1.0, "batch": 1.0, "drain_s": 30.0}]
+    )
     assert not any(s["rules"].values())
 
 
@@ -75,16 +76,22 @@
         def first(self):
             return getattr(self, "latest", None) or super().first()
 
-    over = {"faults": [{"kind": "crash", "at_s": 1.0, "part": 0.25, "down_s": 1.0}],
-            "discovery": {"notice_s": 0.2, "add_s": 0.1}, "traffic": {"load": 0.9, "connections_per_core": 30.0}}
+    over = {
+        "faults": [{"kind": "crash", "at_s": 1.0, "part": 0.25, "down_s": 1.0}],
+        "discovery": {"notice_s": 0.2, "add_s": 0.1},
+        "traffic": {"load": 0.9, "connections_per_core": 30.0},
+    }
     b = only(run(Heap, **over), "cold")
     assert "fell over" in b["text"] and b["instance"]
 
 
 def test_a_cold_instance_pushed_over_by_those_who_do_not_know_is_no_breach() -> None:
-    over = {"faults": [{"kind": "crash", "at_s": 1.0, "part": 0.25, "down_s": 0.1}],
-            "discovery": {"notice_s": 60.0, "add_s": 60.0}, "fleet": {"instances": 1},
-            "traffic": {"load": 1.5, "connections_per_core": 30.0}}
+    over = {
+        "faults": [{"kind": "crash", "at_s": 1.0, "part": 0.25, "down_s": 0.1}],
+        "discovery": {"notice_s": 60.0, "add_s": 60.0},
+        "fleet": {"instances": 1},
+        "traffic": {"load": 1.5, "connections_per_core": 30.0},
+    }
     d = day(make=Scripted, **{**over, "faults": [{"kind": "crash", "at_s": 1.0, "part": 1.0, "down_s": 0.1}]})
     s = d.run()
     assert any(i.fallen for i in d.instances.values())
@@ -102,8 +109,10 @@
 
 
 def test_what_is_still_held_when_a_planned_restart_ends_is_cut_off() -> None:
-    d = day(make=Scripted, faults=[{"kind": "balancer_roll", "at_s": 2.0, "for_s": 1.0, "part": 1.0, "batch": 1.0,
-                                    "hand_back_s": 1.0}])
+    d = day(
+        make=Scripted,
+        faults=[{"kind": "balancer_roll", "at_s": 2.0, "for_s": 1.0, "part": 1.0, "batch": 1.0, "hand_back_s": 1.0}],
+    )
     d.moved = lambda f: None  # a program that moves nobody
     s = d.run()
     assert s["rules"]["cut off"] > 0
@@ -111,11 +120,19 @@
 
 @pytest.mark.parametrize("policy", policies.POLICIES)
 def test_every_policy_keeps_the_rules_on_a_day_of_trouble(policy: str) -> None:
-    s = day(7, policy, traffic={"load": 0.5}, length_s=25.0, fleet={"balancers": 3, "instances": 8}, faults=[
-        {"kind": "balancer_roll", "at_s": 4.0, "for_s": 6.0, "part": 0.9, "batch": 0.3},
-        {"kind": "crash", "at_s": 6.0, "part": 0.3, "down_s": 4.0},
-        {"kind": "zone_cut", "at_s": 9.0, "for_s": 5.0},
-        {"kind": "drains", "at_s": 12.0, "part": 0.4, "batch": 0.2, "every_s": 3.0}]).run()
+    s = day(
+        7,
+        policy,
+        traffic={"load": 0.5},
+        length_s=25.0,
+        fleet={"balancers": 3, "instances": 8},
+        faults=[
+            {"kind": "balancer_roll", "at_s": 4.0, "for_s": 6.0, "part": 0.9, "batch": 0.3},
+            {"kind": "crash", "at_s": 6.0, "part": 0.3, "down_s": 4.0},
+            {"kind": "zone_cut", "at_s": 9.0, "for_s": 5.0},
+            {"kind": "drains", "at_s": 12.0, "part": 0.4, "batch": 0.2, "every_s": 3.0},
+        ],
+    ).run()
     # The textbook's ways know nothing of cold starts: that rule is for the module alone.
     broken = [r for r, n in s["rules"].items() if n and (policy == "glenrock" or r != "cold")]
     assert not s["failure"] and not broken, s["breaches"]
--- a/tests/lab/test_spec.py
+++ b/tests/lab/test_spec.py
@@ -32,46 +32,58 @@
     return str(told.value).replace(str(path), "x.toml")
 
 
-@pytest.mark.parametrize("old,new,told", [
-    ("balancers = 2", "balancer = 2", "x.toml:3: fleet.balancer: not a key that is known here"),
-    ("balancers = 2", "balancers = 0", "x.toml:3: fleet.balancers: Expected `int` >= 1"),
-    ("balancers = 2", 'balancers = "two"', "x.toml:3: fleet.balancers: Expected `int | array`, got `str`"),
-    ("balancers = 2", "balancers = [4, 2]", "x.toml:3: fleet.balancers: the range [4, 2] runs backwards"),
-    ("balancers = 2", "balancers = [1, 2, 3]", "x.toml:3: fleet.balancers: Expected `array` of length <= 2"),
-    ("balancers = 2", "balancers 2", "x.toml: Expected '=' after a key"),
-    ('name = "b"', 'name = "a"', "x.toml:7: classes[1].name: 'a' stands twice"),
-    ('name = "b"', 'name = "b"\nlife_ms = 4', "x.toml:8: classes[1].life_ms: not a key that is known here"),
-    ('name = "b"', 'name = "b"\naim_ms = 9e9', "x.toml:8: classes[1].aim_ms: must lie within give_up_ms"),
-    ('kind = "crash"', 'kind = "flood"', "x.toml:9: faults[0].kind: Invalid value 'flood'"),
-    ("at_s = 1.0", "at_s = 1.0\npart = 1.5", "x.toml:11: faults[0].part: Expected `float` <= 1.0"),
-    ("at_s = 1.0", "at_s = 100.0", "x.toml:10: faults[0].at_s: is past the end of the day"),
-    ("[[faults]]", "[constants]\nNO_SUCH = 1.0\n[[faults]]", "x.toml:9: constants.NO_SUCH: not an open constant"),
-    ("[[faults]]", "[goal]\nwhole = 0.9\n[[faults]]", "x.toml:8: goal: weights must add up to 1"),
-    ("[[faults]]", '[sweep]\n"fleet.balancers" = [2, 0]\n[[faults]]', "x.toml:8: sweep: fleet.balancers = 0: "),
-    ("[[faults]]", '[sweep]\n"faults[3].part" = [0.1]\n[[faults]]', "there is nothing at this path"),
-    ('name = "x"', 'name = "x"\nbase = "x.toml"', "leads back to this file"),
-    ('name = "x"', 'name = "x"\nbase = "gone.toml"', "No such file or directory"),
-])
+@pytest.mark.parametrize(
+    "old,new,told",
+    [
+        ("balancers = 2", "balancer = 2", "x.toml:3: fleet.balancer: not a key that is known here"),
+        ("balancers = 2", "balancers = 0", "x.toml:3: fleet.balancers: Expected `int` >= 1"),
+        ("balancers = 2", 'balancers = "two"', "x.toml:3: fleet.balancers: Expected `int | array`, got `str`"),
+        ("balancers = 2", "balancers = [4, 2]", "x.toml:3: fleet.balancers: the range [4, 2] runs backwards"),
+        ("balancers = 2", "balancers = [1, 2, 3]", "x.toml:3: fleet.balancers: Expected `array` of length <= 2"),
+        ("balancers = 2", "balancers 2", "x.toml: Expected '=' after a key"),
+        ('name = "b"', 'name = "a"', "x.toml:7: classes[1].name: 'a' stands twice"),
+        ('name = "b"', 'name = "b"\nlife_ms = 4', "x.toml:8: classes[1].life_ms: not a key that is known here"),
+        ('name = "b"', 'name = "b"\naim_ms = 9e9', "x.toml:8: classes[1].aim_ms: must lie within give_up_ms"),
+        ('kind = "crash"', 'kind = "flood"', "x.toml:9: faults[0].kind: Invalid value 'flood'"),
+        ("at_s = 1.0", "at_s = 1.0\npart = 1.5", "x.toml:11: faults[0].part: Expected `float` <= 1.0"),
+        ("at_s = 1.0", "at_s = 100.0", "x.toml:10: faults[0].at_s: is past the end of the day"),
+        ("[[faults]]", "[constants]\nNO_SUCH = 1.0\n[[faults]]", "x.toml:9: constants.NO_SUCH: not an open constant"),
+        ("[[faults]]", "[goal]\nwhole = 0.9\n[[faults]]", "x.toml:8: goal: weights must add up to 1"),
+        ("[[faults]]", '[sweep]\n"fleet.balancers" = [2, 0]\n[[faults]]', "x.toml:8: sweep: fleet.balancers = 0: "),
+        ("[[faults]]", '[sweep]\n"faults[3].part" = [0.1]\n[[faults]]', "there is nothing at this path"),
+        ('name = "x"', 'name = "x"\nbase = "x.toml"', "leads back to this file"),
+        ('name = "x"', 'name = "x"\nbase = "gone.toml"', "No such file or directory"),
+    ],
+)
 def test_a_fault_is_told_by_file_line_and_key(tmp_path: Path, old: str, new: str, told: str) -> None:
     assert told in bad(tmp_path, GOOD, old, new)
 
 
 def test_what_is_no_text_is_told(tmp_path: Path) -> None:
-    (tmp_path / "x.toml").write_bytes(b"name = \"\xff\"")
+    (tmp_path / "x.toml").write_bytes(b'name = "\xff"')
     with pytest.raises(InputFileError, match="not UTF-8 at byte 8"):
         spec.load(tmp_path / "x.toml")
 
 
 def test_lines_are_found_in_nested_tables() -> None:
     text = "[a]\nb = 1\n[[c]]\nd = 2\n[c.e]\nf = 3\n[[c]]\n'g.h' = 4\n"
-    assert places(text) == {"a": 1, "a.b": 2, "c[0]": 3, "c[0].d": 4, "c[0].e": 5, "c[0].e.f": 6, "c[1]": 7,
-                            "c[1].g.h": 8}
+    assert places(text) == {
+        "a": 1,
+        "a.b": 2,
+        "c[0]": 3,
+        "c[0].d": 4,
+        "c[0].e": 5,
+        "c[0].e.f": 6,
+        "c[1]": 7,
+        "c[1].g.h": 8,
+    }
 
 
 def test_a_base_is_changed_key_by_key_and_lists_are_replaced(tmp_path: Path) -> None:
     (tmp_path / "base.toml").write_text(GOOD + "[sweep]\n'traffic.load' = [0.1]\n")
-    (tmp_path / "x.toml").write_text('base = "base.toml"\nname = "y"\n[fleet]\ninstances = 3\n[[faults]]\n'
-                                     'kind = "slow"\nat_s = 2.0\n')
+    (tmp_path / "x.toml").write_text(
+        'base = "base.toml"\nname = "y"\n[fleet]\ninstances = 3\n[[faults]]\nkind = "slow"\nat_s = 2.0\n'
+    )
     e = spec.load(tmp_path / "x.toml", {"traffic.load": 0.9, "faults[0].part": 0.4})
     assert (e.name, e.fleet.balancers, e.fleet.instances, len(e.classes)) == ("y", 2, 3, 2)
     assert e.sweep == {} and e.traffic.load == 0.9
--- a/tests/lab/test_theory.py
+++ b/tests/lab/test_theory.py
@@ -11,16 +11,28 @@
 
 PLAIN = {  # set-ups alone: no lives, no waits on the way, exponential work
     "classes": [{"name": "job", "life": 0.0, "setup_ms": 100.0, "give_up_ms": 1e6, "aim_ms": 1e3}],
-    "tenants": [{"name": "all"}], "network": {"same_ms": 0.0, "cross_ms": 0.0, "client_ms": 0.0, "jitter": 0.0},
-    "platform": {"tick_ms": 0.001, "max_attempts": 1}, "clients": {"impatient": 0.0}, "drain_s": 50.0}
+    "tenants": [{"name": "all"}],
+    "network": {"same_ms": 0.0, "cross_ms": 0.0, "client_ms": 0.0, "jitter": 0.0},
+    "platform": {"tick_ms": 0.001, "max_attempts": 1},
+    "clients": {"impatient": 0.0},
+    "drain_s": 50.0,
+}
 
 
 @pytest.mark.parametrize("cores,load", [(1, 0.7), (4, 0.85)])
 def test_waits_of_one_instance_are_those_of_mmc(cores: int, load: float) -> None:
     """Mean wait of M/M/c: C(c, load) times the mean work, over c (1 - load). Within 6%."""
-    d = Day(experiment(**PLAIN, length_s=6000.0 / cores, traffic={"load": load},
-                       fleet={"balancers": 1, "instances": 1, "zones": ["a"]},
-                       kinds=[{"name": "k", "cores": cores, "queue_per_core": 1e6, "crowd_loss": 0.0}]), 11, "random")
+    d = Day(
+        experiment(
+            **PLAIN,
+            length_s=6000.0 / cores,
+            traffic={"load": load},
+            fleet={"balancers": 1, "instances": 1, "zones": ["a"]},
+            kinds=[{"name": "k", "cores": cores, "queue_per_core": 1e6, "crowd_loss": 0.0}],
+        ),
+        11,
+        "random",
+    )
     s = d.run()
     took = d.measure.waits[0].get_mean_value() / 1e6
     want = 0.1 + erlang_c(cores, load) * 0.1 / (cores * (1 - load))
@@ -36,9 +48,17 @@
     """
     load, tails = 0.8, {}
     for policy in ("two_choices", "random"):
-        d = Day(experiment(**PLAIN, length_s=60.0, traffic={"load": load},
-                           fleet={"balancers": 1, "instances": 100, "zones": ["a"]},
-                           kinds=[{"name": "k", "cores": 1, "queue_per_core": 1e6, "crowd_loss": 0.0}]), 3, policy)
+        d = Day(
+            experiment(
+                **PLAIN,
+                length_s=60.0,
+                traffic={"load": load},
+                fleet={"balancers": 1, "instances": 100, "zones": ["a"]},
+                kinds=[{"name": "k", "cores": 1, "queue_per_core": 1e6, "crowd_loss": 0.0}],
+            ),
+            3,
+            policy,
+        )
         d.prepare()
         seen = [0] * 6
         looks = 200
@@ -49,8 +69,8 @@
                 seen[k] += sum(j >= k for j in jobs)
         tails[policy] = [x / looks / 100 for x in seen]
     for k in (1, 2, 3):
-        assert tails["two_choices"][k] == pytest.approx(load ** (2 ** k - 1), abs=0.03)
-        assert tails["random"][k] == pytest.approx(load ** k, abs=0.06)
+        assert tails["two_choices"][k] == pytest.approx(load ** (2**k - 1), abs=0.03)
+        assert tails["random"][k] == pytest.approx(load**k, abs=0.06)
     assert tails["two_choices"][4] < 0.08 < 0.25 < tails["random"][4]
 
 
--- a/tests/stage/test_coldstart.py
+++ b/tests/stage/test_coldstart.py
@@ -23,12 +23,20 @@
 GONE = [{"kind": "instance_kill", "at_s": 3.2, "instance": 1, "down_s": 5.0}]
 
 
-@pytest.mark.parametrize("keep,faults", [
-    (False, [*SILENT, *KILLED]), (True, [*SILENT, *KILLED]), (True, [*CUT, *KILLED]), (True, [*SILENT, *AGAIN, *GONE])],
-    ids=["nothing kept", "killed at once", "cut from the list", "killed in turn, a server gone"])
+@pytest.mark.parametrize(
+    "keep,faults",
+    [
+        (False, [*SILENT, *KILLED]),
+        (True, [*SILENT, *KILLED]),
+        (True, [*CUT, *KILLED]),
+        (True, [*SILENT, *AGAIN, *GONE]),
+    ],
+    ids=["nothing kept", "killed at once", "cut from the list", "killed in turn, a server gone"],
+)
 def test_all_that_start_while_the_list_is_silent_serve_by_what_was_kept(keep: bool, faults: list) -> None:
-    stage, s = played(seed=3, length_s=10.0, rig={"known": False}, together={"store": "sqlite", "keep": keep},
-                      faults=faults)
+    stage, s = played(
+        seed=3, length_s=10.0, rig={"known": False}, together={"store": "sqlite", "keep": keep}, faults=faults
+    )
     assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
     day = stage.history.day
     ups = [e.at - day for e in stage.history.each("up")]
@@ -37,8 +45,9 @@
     silent = [at for at in ups if 4.0 * S <= at < 6.9 * S]  # all are up again, and the list is not
     assert (len(silent) >= 10) is keep and bool(silent) is keep, (len(silent), s["counts"])
     lines = [str(e.data["text"]) for e in stage.history.each("log") if "start: " in str(e.data["text"])]
-    assert sum("its list of 4 servers is used" in line for line in lines) == keep * (len(faults) - len(SILENT)
-                                                                                    - (GONE[0] in faults))
+    assert sum("its list of 4 servers is used" in line for line in lines) == keep * (
+        len(faults) - len(SILENT) - (GONE[0] in faults)
+    )
 
 
 LOOP = [{"kind": "kill", "at_s": 1 + 1.5 * n, "balancer": 0, "down_s": 0.1} for n in range(6)]
@@ -46,15 +55,19 @@
 
 @pytest.mark.parametrize("spaced", [False, True])
 def test_one_that_dies_again_and_again_opens_its_door_ever_later_and_once_it_lives_it_serves(spaced: bool) -> None:
-    stage, s = played(seed=5, length_s=17.0, together={"store": "sqlite", "spaced": spaced, "sound_ms": 6000.0},
-                      faults=LOOP)
+    stage, s = played(
+        seed=5, length_s=17.0, together={"store": "sqlite", "spaced": spaced, "sound_ms": 6000.0}, faults=LOOP
+    )
     assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
     day = stage.history.day
     taken = [(e.at - day) / S for e in stage.history.each("takes in") if e.data["balancer"] == 0 and e.at > day]
     late = [at for at in taken if 7.1 < at < 8.5]  # of a life that waits at least as long as it has
     assert (not late) is spaced, taken
-    waits = [float(str(e.data["text"]).partition("opens in ")[2][:-2]) for e in stage.history.each("log")
-             if "the door opens in" in str(e.data["text"])]
+    waits = [
+        float(str(e.data["text"]).partition("opens in ")[2][:-2])
+        for e in stage.history.each("log")
+        if "the door opens in" in str(e.data["text"])
+    ]
     assert (len(waits) >= 3) is spaced and waits == sorted(waits), waits
     assert taken[-1] > 8.5, "it serves once it lives"
     ups = [e for e in stage.history.each("up") if (e.at - day) / S > taken[-1]]
@@ -70,9 +83,14 @@
             at = [f"{host}:{port}" for host, port in map(stage.net.admin, range(3))]
             code = command(["fleet", "start-report", *(word for address in at for word in ("--at", address))])
             found.append((code, capsys.readouterr().out))
+
     with tempfile.TemporaryDirectory() as folder:
-        told = scene(length_s=8.0, rig={"known": False}, together={"store": "sqlite", "keep": True},
-                     faults=[*SILENT, *KILLED[:2]])
+        told = scene(
+            length_s=8.0,
+            rig={"known": False},
+            together={"store": "sqlite", "keep": True},
+            faults=[*SILENT, *KILLED[:2]],
+        )
         run.play(told, 3, Path(folder), live)
     [(code, text)] = found
     rows = {line.split()[0]: line for line in text.splitlines()}
--- a/tests/stage/test_owner.py
+++ b/tests/stage/test_owner.py
@@ -21,15 +21,21 @@
 
 
 # Whoever owns sleeps past its term once, whatever is drawn afterwards: a new term and a drain there are in any case.
-BEGIN = [{"kind": "ban", "at_s": 0.5, "balancer": 1, "instance": 1},
-         *({"kind": "pause", "at_s": 1.0 + 1.3 * n, "balancer": n, "for_s": 1.1} for n in range(3)),
-         {"kind": "ticket", "at_s": 0.3, "balancer": 2, "for_s": 0.3}]
+BEGIN = [
+    {"kind": "ban", "at_s": 0.5, "balancer": 1, "instance": 1},
+    *({"kind": "pause", "at_s": 1.0 + 1.3 * n, "balancer": n, "for_s": 1.1} for n in range(3)),
+    {"kind": "ticket", "at_s": 0.3, "balancer": 2, "for_s": 0.3},
+]
 RUNS = {
     "sqlite": [*BEGIN, strikes(STRUCK)],
-    "consul": [*BEGIN, strikes([*STRUCK, "store_cut"]),
-               {"kind": "store_fault", "at_s": 5.5, "how": "rollback", "for_s": 1.0},
-               {"kind": "store_fault", "at_s": 7.0, "how": "loses", "for_s": 0.5},
-               {"kind": "store_fault", "at_s": 8.5, "how": "restart", "for_s": 0.4}]}
+    "consul": [
+        *BEGIN,
+        strikes([*STRUCK, "store_cut"]),
+        {"kind": "store_fault", "at_s": 5.5, "how": "rollback", "for_s": 1.0},
+        {"kind": "store_fault", "at_s": 7.0, "how": "loses", "for_s": 0.5},
+        {"kind": "store_fault", "at_s": 8.5, "how": "restart", "for_s": 0.4},
+    ],
+}
 
 
 @pytest.mark.parametrize("store", RUNS)
@@ -46,19 +52,34 @@
     cut = {"kind": "way", "at_s": 0.0, "source": "balancer:*", "target": "balancer:*", "for_s": 3.0, "cut": True}
     # Later than from an old owner's last mark to a new term.
     late = {**cut, "at_s": 3.0, "for_s": 5.0, "cut": False, "delay_ms": 3000.0}
-    stage, s = played(seed=1, length_s=9.0, together={**TOGETHER, "store": "sqlite"}, faults=[
-        cut, late, {"kind": "ban", "at_s": 1.0, "balancer": 0, "instance": 2},
-        {"kind": "ban", "at_s": 3.1, "balancer": 0, "instance": 2, "out": False},
-        *({"kind": "pause", "at_s": 4.2 + n % 3, "balancer": n, "for_s": 0.9} for n in range(3))])
+    stage, s = played(
+        seed=1,
+        length_s=9.0,
+        together={**TOGETHER, "store": "sqlite"},
+        faults=[
+            cut,
+            late,
+            {"kind": "ban", "at_s": 1.0, "balancer": 0, "instance": 2},
+            {"kind": "ban", "at_s": 3.1, "balancer": 0, "instance": 2, "out": False},
+            *({"kind": "pause", "at_s": 4.2 + n % 3, "balancer": n, "for_s": 0.9} for n in range(3)),
+        ],
+    )
     assert not s["breaches"], [(b["rule"], b["text"], *b["led"]) for b in s["breaches"]]
     assert s["together"]["told"] + s["together"]["told_later"] == 2 and not s["seen"].get("banned")
     assert s["together"]["late"] > 0, "void unless words of an old term were refused"
 
 
 def test_with_the_store_gone_clients_are_served_a_ban_holds_where_it_was_told_and_reaches_all_later() -> None:
-    stage, s = played(seed=2, length_s=9.0, together={**TOGETHER, "store": "consul"}, faults=[
-        {"kind": "store_fault", "at_s": 0.5, "how": "refuses", "for_s": 5.0},
-        {"kind": "ban", "at_s": 1.5, "balancer": 0, "instance": 2}, {"kind": "ticket", "at_s": 3.0, "balancer": 1}])
+    stage, s = played(
+        seed=2,
+        length_s=9.0,
+        together={**TOGETHER, "store": "consul"},
+        faults=[
+            {"kind": "store_fault", "at_s": 0.5, "how": "refuses", "for_s": 5.0},
+            {"kind": "ban", "at_s": 1.5, "balancer": 0, "instance": 2},
+            {"kind": "ticket", "at_s": 3.0, "balancer": 1},
+        ],
+    )
     assert not s["breaches"] and s["counts"]["set_up"] > 20, s["breaches"]
     t = s["together"]
     assert (t["told"], t["told_later"], t["drained"], t["drains_refused"]) == (0, 1, 0, 1)
@@ -76,8 +97,12 @@
 
 
 def effect(at_ms: int, term: int, number: int, ok: bool = True, who: str = "balancer:1", order: int = 0) -> tuple:
-    return at_ms, who, "effect", {"job": "bans", "term": term, "number": number, "ok": ok, "seen": 5,
-                                  "order": order or at_ms}
+    return (
+        at_ms,
+        who,
+        "effect",
+        {"job": "bans", "term": term, "number": number, "ok": ok, "seen": 5, "order": order or at_ms},
+    )
 
 
 def away(n: int, *at_ms: int) -> list[tuple]:
@@ -91,18 +116,26 @@
 LINE = "instance:3", "line", {"balancer": 2, "at": False}
 
 
-@pytest.mark.parametrize("events, broken", [
-    ([effect(1, 4, 1), effect(2, 5, 1), effect(3, 5, 2), effect(4, 4, 9, ok=False)], ""),
-    ([effect(1, 5, 1), effect(2, 4, 7)], "terms"), ([effect(1, 5, 1), effect(2, 5, 1)], "terms"),
-    ([effect(1, 5, 1, order=2), effect(2, 4, 7, order=1)], ""), ([effect(1, 4, 1, order=2), effect(2, 5, 1, order=1)],
-                                                                   "terms"),
-    ([effect(1, 5, 1), (2, "balancer:1", "started", {}), effect(3, 4, 7, order=1)], "terms"),
-    ([effect(1, 5, 1), effect(2, 4, 7, who="balancer:2")], ""),
-    ([*away(1, 100, 300, 500), *away(2, 900, 1100)], ""), ([*away(1, 100, 300), *away(2, 350, 500)], ""),
-    ([*away(1, 100, 300, 500), *away(2, 400, 600)], "tickets"), ([*away(1, 100), *away(2, 100)], "tickets"),
-    ([heard(100, True), (1000, *LINE)], ""), ([heard(100, True), (1300, *LINE)], "banned"),
-    ([heard(100, True, 202), (1300, *LINE)], ""),
-    ([heard(100, True), (900, "operator", "says", {"instance": "instance:3", "out": False}), (1300, *LINE)], "")])
+@pytest.mark.parametrize(
+    "events, broken",
+    [
+        ([effect(1, 4, 1), effect(2, 5, 1), effect(3, 5, 2), effect(4, 4, 9, ok=False)], ""),
+        ([effect(1, 5, 1), effect(2, 4, 7)], "terms"),
+        ([effect(1, 5, 1), effect(2, 5, 1)], "terms"),
+        ([effect(1, 5, 1, order=2), effect(2, 4, 7, order=1)], ""),
+        ([effect(1, 4, 1, order=2), effect(2, 5, 1, order=1)], "terms"),
+        ([effect(1, 5, 1), (2, "balancer:1", "started", {}), effect(3, 4, 7, order=1)], "terms"),
+        ([effect(1, 5, 1), effect(2, 4, 7, who="balancer:2")], ""),
+        ([*away(1, 100, 300, 500), *away(2, 900, 1100)], ""),
+        ([*away(1, 100, 300), *away(2, 350, 500)], ""),
+        ([*away(1, 100, 300, 500), *away(2, 400, 600)], "tickets"),
+        ([*away(1, 100), *away(2, 100)], "tickets"),
+        ([heard(100, True), (1000, *LINE)], ""),
+        ([heard(100, True), (1300, *LINE)], "banned"),
+        ([heard(100, True, 202), (1300, *LINE)], ""),
+        ([heard(100, True), (900, "operator", "says", {"instance": "instance:3", "out": False}), (1300, *LINE)], ""),
+    ],
+)
 def test_the_judge_sees_what_is_not_kept(events, broken) -> None:
     h = history(*sorted(events, key=lambda e: e[0]))
     v = judge.judge(h, judge.Figures(2500.0, tickets=1))
@@ -115,9 +148,14 @@
     assert [b.rule for b in v.breaches] == ["agreed"] and "balancer 2" in v.breaches[0].text
 
 
-@pytest.mark.parametrize("fault, said", [
-    ({"kind": "ban", "at_s": 1.0}, "names no store"), (strikes(["pause"]), "names no store"),
-    ({"kind": "way", "at_s": 1.0, "source": "balancer:0", "target": "store", "cut": True}, "nothing goes from")])
+@pytest.mark.parametrize(
+    "fault, said",
+    [
+        ({"kind": "ban", "at_s": 1.0}, "names no store"),
+        (strikes(["pause"]), "names no store"),
+        ({"kind": "way", "at_s": 1.0, "source": "balancer:0", "target": "store", "cut": True}, "nothing goes from"),
+    ],
+)
 def test_what_needs_a_store_is_told_where_there_is_none(fault, said) -> None:
     with pytest.raises(InputFileError, match=said):
         scene(faults=[fault])
--- a/tests/stage/test_processes.py
+++ b/tests/stage/test_processes.py
@@ -19,12 +19,22 @@
 
 def told(net: Net) -> dict:
     host, port = net.balancer(190)
-    s = interface.Settings(classes=(interface.RequestClass("browse", 300_000, 1_500_000, 90_000, 2.0),),
-                    tenants=(interface.Tenant("all", 40.0),), balancers=2, load_report_fields=("load_ratio", "backlog"),
-                    may_health_check=True)
+    s = interface.Settings(
+        classes=(interface.RequestClass("browse", 300_000, 1_500_000, 90_000, 2.0),),
+        tenants=(interface.Tenant("all", 40.0),),
+        balancers=2,
+        load_report_fields=("load_ratio", "backlog"),
+        may_health_check=True,
+    )
     assert settings_of(config.settings(s, ("all",))) == s
-    return {"name": "n0", "listen": f"{host}:{port}", "discovery": f"{host}:9", "seed": "1",
-            "limits": {"sockets": 128}, "settings": config.settings(s, ("all",))}
+    return {
+        "name": "n0",
+        "listen": f"{host}:{port}",
+        "discovery": f"{host}:9",
+        "seed": "1",
+        "limits": {"sockets": 128},
+        "settings": config.settings(s, ("all",)),
+    }
 
 
 def state(pid: int) -> str:
@@ -65,10 +75,12 @@
 
 def test_no_process_outlives_a_stage_that_is_killed(tmp_path) -> None:
     (tmp_path / "told.json").write_text(json.dumps(told(Net())))
-    code = ("import json, sys, time; from pathlib import Path; from glenrock.stage import processes, history\n"
-            "told = json.loads(Path('told.json').read_text())\n"
-            "b = processes.Balancer(0, Path('b'), told, history.History(lambda: 0), 512)\n"
-            "b.begin(); print(b.process.pid, flush=True); time.sleep(60)")
+    code = (
+        "import json, sys, time; from pathlib import Path; from glenrock.stage import processes, history\n"
+        "told = json.loads(Path('told.json').read_text())\n"
+        "b = processes.Balancer(0, Path('b'), told, history.History(lambda: 0), 512)\n"
+        "b.begin(); print(b.process.pid, flush=True); time.sleep(60)"
+    )
     stage = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=tmp_path)
     pid = int(stage.stdout.readline())
     assert state(pid) != "gone"
--- a/tests/stage/test_relays.py
+++ b/tests/stage/test_relays.py
@@ -58,7 +58,9 @@
         async def inside() -> None:
             async with Echo() as echo:
                 await test(echo)
+
         asyncio.run(asyncio.wait_for(inside(), 20))
+
     run.__name__ = test.__name__
     return run
 
@@ -135,6 +137,7 @@
 
 def datagrams(fault: Way | None, count: int) -> list[list[bytes]]:
     """What two balancers hear of what each sends the other."""
+
     async def run() -> list[list[bytes]]:
         n, heard, ways = net(), [[], []], Ways(())
         post = Post(ways, n, 2, seed=5)
@@ -162,16 +165,21 @@
             end.close()
         post.close()
         return heard
+
     return asyncio.run(run())
 
 
-@pytest.mark.parametrize("over, test", [
-    ({}, lambda got, sent: got == sent),
-    ({"loss": 1.0}, lambda got, sent: not got),
-    ({"loss": 0.5}, lambda got, sent: 0.2 < len(got) / len(sent) < 0.8),
-    ({"cut": True}, lambda got, sent: not got),
-    ({"doubled": 1.0}, lambda got, sent: len(got) == 2 * len(sent)),
-    ({"disordered": 0.5}, lambda got, sent: got != sent and len(got) >= 0.9 * len(sent))])
+@pytest.mark.parametrize(
+    "over, test",
+    [
+        ({}, lambda got, sent: got == sent),
+        ({"loss": 1.0}, lambda got, sent: not got),
+        ({"loss": 0.5}, lambda got, sent: 0.2 < len(got) / len(sent) < 0.8),
+        ({"cut": True}, lambda got, sent: not got),
+        ({"doubled": 1.0}, lambda got, sent: len(got) == 2 * len(sent)),
+        ({"disordered": 0.5}, lambda got, sent: got != sent and len(got) >= 0.9 * len(sent)),
+    ],
+)
 def test_datagrams_in_one_direction(over, test) -> None:
     sent = [b"%d" % k for k in range(60)]
     zero, one = datagrams(way("balancer:0", "balancer:1", **over), 60)
--- a/tests/stage/test_run.py
+++ b/tests/stage/test_run.py
@@ -9,18 +9,34 @@
 from .scenes import played
 
 RUNS = {
-    "processes": [{"kind": "kill", "at_s": 1.0, "balancer": 0, "down_s": 0.5},
-                  {"kind": "pause", "at_s": 2.0, "balancer": 1, "for_s": 1.5},
-                  {"kind": "stop", "at_s": 3.5, "balancer": 2, "down_s": 0.3}],
-    "ways": [{"kind": "way", "at_s": 1.0, "source": "balancer:0", "target": "instance:*", "for_s": 1.5, "cut": True},
-             {"kind": "way", "at_s": 2.0, "source": "instance:1", "target": "balancer:1", "for_s": 1.5, "cut": True},
-             {"kind": "way", "at_s": 1.0, "source": "balancer:*", "target": "balancer:*", "for_s": 4.0, "loss": 0.5,
-              "doubled": 0.3, "disordered": 0.3, "delay_ms": 40.0},
-             {"kind": "way", "at_s": 3.0, "source": "clients", "target": "balancer:2", "for_s": 1.0, "reset": True}],
-    "stand-ins": [{"kind": "instance_kill", "at_s": 1.0, "instance": 0, "down_s": 1.0},
-                  {"kind": "drain", "at_s": 1.5, "instance": 1, "drain_s": 2.5, "down_s": 0.5},
-                  {"kind": "list_fault", "at_s": 2.0, "how": "refuses", "for_s": 1.0},
-                  {"kind": "list_fault", "at_s": 3.5, "how": "slow", "for_s": 1.0, "call_ms": 200.0}]}
+    "processes": [
+        {"kind": "kill", "at_s": 1.0, "balancer": 0, "down_s": 0.5},
+        {"kind": "pause", "at_s": 2.0, "balancer": 1, "for_s": 1.5},
+        {"kind": "stop", "at_s": 3.5, "balancer": 2, "down_s": 0.3},
+    ],
+    "ways": [
+        {"kind": "way", "at_s": 1.0, "source": "balancer:0", "target": "instance:*", "for_s": 1.5, "cut": True},
+        {"kind": "way", "at_s": 2.0, "source": "instance:1", "target": "balancer:1", "for_s": 1.5, "cut": True},
+        {
+            "kind": "way",
+            "at_s": 1.0,
+            "source": "balancer:*",
+            "target": "balancer:*",
+            "for_s": 4.0,
+            "loss": 0.5,
+            "doubled": 0.3,
+            "disordered": 0.3,
+            "delay_ms": 40.0,
+        },
+        {"kind": "way", "at_s": 3.0, "source": "clients", "target": "balancer:2", "for_s": 1.0, "reset": True},
+    ],
+    "stand-ins": [
+        {"kind": "instance_kill", "at_s": 1.0, "instance": 0, "down_s": 1.0},
+        {"kind": "drain", "at_s": 1.5, "instance": 1, "drain_s": 2.5, "down_s": 0.5},
+        {"kind": "list_fault", "at_s": 2.0, "how": "refuses", "for_s": 1.0},
+        {"kind": "list_fault", "at_s": 3.5, "how": "slow", "for_s": 1.0, "call_ms": 200.0},
+    ],
+}
 
 
 @pytest.mark.parametrize("name", RUNS)
@@ -31,7 +47,8 @@
     assert struck == {f["kind"] for f in RUNS[name]}
     assert s["seen"]["answered"] > 20 and s["seen"]["repeated"] > 10, "the judge had something to look at"
     assert stage.measure.series["standing"][-1] >= 0.6 * (
-        stage.measure.series["standing"][-1] + stage.measure.series["line"][-1])
+        stage.measure.series["standing"][-1] + stage.measure.series["line"][-1]
+    )
     assert not any(b.up for b in stage.balancers)
     if name == "processes":
         assert [b.lives for b in stage.balancers] == [2, 1, 2]
@@ -57,8 +74,13 @@
 
 
 def test_two_dozen_that_start_at_once_without_a_list_are_all_heard_by_a_service_of_one_call_at_a_time() -> None:
-    _, s = played(seed=1, length_s=6.0, fleet={"balancers": 24, "instances": 6}, traffic={"load": 0.1},
-                  rig={"known": False, "call_ms": 40.0, "ready_s": 60.0, "admit_s": 1.0},
-                  faults=[{"kind": "kill", "at_s": 1.0, "balancer": 3, "down_s": 0.5}])
+    _, s = played(
+        seed=1,
+        length_s=6.0,
+        fleet={"balancers": 24, "instances": 6},
+        traffic={"load": 0.1},
+        rig={"known": False, "call_ms": 40.0, "ready_s": 60.0, "admit_s": 1.0},
+        faults=[{"kind": "kill", "at_s": 1.0, "balancer": 3, "down_s": 0.5}],
+    )
     assert not s["breaches"] and s["list"]["heard"] == 24, s["list"]
     assert s["list"]["calls"] <= 2 * 24 and s["list"]["refused"] <= 12
--- a/tests/stage/test_spec.py
+++ b/tests/stage/test_spec.py
@@ -18,16 +18,22 @@
     assert spec.load(file).faults
 
 
-@pytest.mark.parametrize("text, told", [
-    (FAULT.format("crash"), "faults[0].kind: "), (FAULT.format("kill") + "balancer = 3\n", "there is no balancer 3"),
-    (FAULT.format("instance_kill") + "instance = 12\n", "there is no instance 12"),
-    (FAULT.format("way") + 'source = "balancer:*"\ntarget = "nobody"\n', "faults[0].target: "),
-    (FAULT.format("way") + 'source = "list"\ntarget = "clients"\n', "nothing goes from list to clients"),
-    (FAULT.format("way") + 'source = "balancer:9"\ntarget = "list"\n', "faults[0].source: there is no balancer 9"),
-    (FAULT.format("pause") + "for_s = -1.0\n", "faults[0].for_s: "),
-    ("[fleet]\nballancers = 3\n", "fleet.ballancers: not a key that is known here"),
-    ("[fleet]\nbalancers = 500\n", "fleet.balancers: at most 200"),
-    ("[rig]\nsockets = 5\n", "rig.sockets: "), ("[constants]\nCAP_CUT = 0.5\n", "constants: only the laboratory")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        (FAULT.format("crash"), "faults[0].kind: "),
+        (FAULT.format("kill") + "balancer = 3\n", "there is no balancer 3"),
+        (FAULT.format("instance_kill") + "instance = 12\n", "there is no instance 12"),
+        (FAULT.format("way") + 'source = "balancer:*"\ntarget = "nobody"\n', "faults[0].target: "),
+        (FAULT.format("way") + 'source = "list"\ntarget = "clients"\n', "nothing goes from list to clients"),
+        (FAULT.format("way") + 'source = "balancer:9"\ntarget = "list"\n', "faults[0].source: there is no balancer 9"),
+        (FAULT.format("pause") + "for_s = -1.0\n", "faults[0].for_s: "),
+        ("[fleet]\nballancers = 3\n", "fleet.ballancers: not a key that is known here"),
+        ("[fleet]\nbalancers = 500\n", "fleet.balancers: at most 200"),
+        ("[rig]\nsockets = 5\n", "rig.sockets: "),
+        ("[constants]\nCAP_CUT = 0.5\n", "constants: only the laboratory"),
+    ],
+)
 def test_a_fault_in_a_stage_file_is_told_in_one_line(tmp_path, capsys, text, told) -> None:
     file = tmp_path / "x.toml"
     file.write_text('name = "x"\n' + text)
--- a/tests/stage/test_ways.py
+++ b/tests/stage/test_ways.py
@@ -16,9 +16,17 @@
     return Way(at_s=0.0, source=source, target=target, **over)
 
 
-@pytest.mark.parametrize("pattern, party, does", [
-    ("balancer:1", "balancer:1", True), ("balancer:1", "balancer:12", False), ("balancer:*", "balancer:12", True),
-    ("balancer:*", "instance:1", False), ("clients", "clients", True), ("list", "clients", False)])
+@pytest.mark.parametrize(
+    "pattern, party, does",
+    [
+        ("balancer:1", "balancer:1", True),
+        ("balancer:1", "balancer:12", False),
+        ("balancer:*", "balancer:12", True),
+        ("balancer:*", "instance:1", False),
+        ("clients", "clients", True),
+        ("list", "clients", False),
+    ],
+)
 def test_what_a_pattern_matches(pattern, party, does) -> None:
     assert ways.matches(pattern, party) is does
 
@@ -32,8 +40,15 @@
     assert w.of("balancer:0", "instance:0") == ways.WHOLE
 
 
-faults = st.builds(way, source=st.sampled_from(["balancer:*", "balancer:0"]), target=st.just("instance:*"),
-                   loss=st.floats(0, 1), delay_ms=st.floats(0, 900), trickle=st.floats(0, 5000), cut=st.booleans())
+faults = st.builds(
+    way,
+    source=st.sampled_from(["balancer:*", "balancer:0"]),
+    target=st.just("instance:*"),
+    loss=st.floats(0, 1),
+    delay_ms=st.floats(0, 900),
+    trickle=st.floats(0, 5000),
+    cut=st.booleans(),
+)
 
 
 @given(st.lists(faults, max_size=4), faults)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -63,13 +63,18 @@
     assert whole.feed(CALL) is None and parts.feed(CALL[:cut]) is None
     assert whole.complete and not parts.complete
     assert parts.feed(CALL[cut:]) is None and parts.complete
-    assert (parts.method, parts.target) == (whole.method, whole.target) == (
-        "POST", b"/v1/session-servers/s-1/suspend")
-
-
-@pytest.mark.parametrize("data,status", [
-    (b"OPEN 9b 7f c=chat\r\n", 400), (b"\x16\x03\x01\r\n\r\n", 400),
-    (b"GET /" + b"a" * 2000, 414), (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * (MAX_REQUEST_BYTES // 6), 413)])
+    assert (parts.method, parts.target) == (whole.method, whole.target) == ("POST", b"/v1/session-servers/s-1/suspend")
+
+
+@pytest.mark.parametrize(
+    "data,status",
+    [
+        (b"OPEN 9b 7f c=chat\r\n", 400),
+        (b"\x16\x03\x01\r\n\r\n", 400),
+        (b"GET /" + b"a" * 2000, 414),
+        (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * (MAX_REQUEST_BYTES // 6), 413),
+    ],
+)
 def test_what_cannot_be_a_call_is_told_so(data: bytes, status: int) -> None:
     found = HttpRequest().feed(data)
     assert found and found.status == status and found.text.count("\n") == 1
@@ -81,24 +86,42 @@
     assert (c.method, c.target, c.complete) == ("GET", b"/v1/readyz", True)
 
 
-@pytest.mark.parametrize("method,target,status", [
-    ("GET", "/v1/readyz", 200), ("GET", "/v1/readyz?x=1", 200), ("POST", "/v1/readyz", 405), ("GET", "/", 404),
-    ("GET", "/v1/balancer/drain", 405), ("POST", "/v1/balancer/drain", 200), ("POST", "/v1/balancer/other", 404),
-    ("POST", "/v1/session-servers/s%2F1%20%C3%A9/suspend", 200), ("GET", "/v1/session-servers/x/suspend", 405),
-    ("POST", "/v1/session-servers/x/suspend", 404), ("POST", "/v1/session-servers/%FF/resume", 400),
-    ("POST", "/v1/session-servers//resume", 400), ("POST", "/v1/session-servers/a/b/resume", 404),
-    ("POST", "/v1/session-servers/" + "a" * 300 + "/resume", 400), ("POST", "/v1/session-servers/resume", 404)])
+@pytest.mark.parametrize(
+    "method,target,status",
+    [
+        ("GET", "/v1/readyz", 200),
+        ("GET", "/v1/readyz?x=1", 200),
+        ("POST", "/v1/readyz", 405),
+        ("GET", "/", 404),
+        ("GET", "/v1/balancer/drain", 405),
+        ("POST", "/v1/balancer/drain", 200),
+        ("POST", "/v1/balancer/other", 404),
+        ("POST", "/v1/session-servers/s%2F1%20%C3%A9/suspend", 200),
+        ("GET", "/v1/session-servers/x/suspend", 405),
+        ("POST", "/v1/session-servers/x/suspend", 404),
+        ("POST", "/v1/session-servers/%FF/resume", 400),
+        ("POST", "/v1/session-servers//resume", 400),
+        ("POST", "/v1/session-servers/a/b/resume", 404),
+        ("POST", "/v1/session-servers/" + "a" * 300 + "/resume", 400),
+        ("POST", "/v1/session-servers/resume", 404),
+    ],
+)
 def test_each_path_has_its_method_and_answer(method: str, target: str, status: int) -> None:
     found = call(Asked(), method, target)
     assert found.status == status
-    assert found.encode().endswith(found.text.encode()) and f"Content-Length: {len(found.text.encode())}\r\n".encode(
-        ) in found.encode()
+    assert (
+        found.encode().endswith(found.text.encode())
+        and f"Content-Length: {len(found.text.encode())}\r\n".encode() in found.encode()
+    )
 
 
 def test_a_refused_call_says_why_in_one_line() -> None:
     ops = Asked("not ready: clients are sent away")
-    for method, target in (("GET", "/v1/readyz"), ("POST", "/v1/balancer/drain"),
-                           ("POST", "/v1/session-servers/s%2F1%20%C3%A9/resume")):
+    for method, target in (
+        ("GET", "/v1/readyz"),
+        ("POST", "/v1/balancer/drain"),
+        ("POST", "/v1/session-servers/s%2F1%20%C3%A9/resume"),
+    ):
         found = call(ops, method, target)
         assert (found.status, found.text) == (503, "not ready: clients are sent away\n")
     assert ops.calls == ["drain", ("back", "s/1 é")]
@@ -108,12 +131,16 @@
 def test_the_text_is_what_a_scraper_reads(classes: dict[str, int], relayed: int) -> None:
     classes = {name: count for name, count in classes.items() if "\r" not in name}
     text = MetricsSnapshot({"fulfilled": classes, "throttled": {}}, relayed, 14, 5, 1).text()
-    read = {f.name: {s.labels.get("priority"): s.value for s in f.samples} for f in
-            text_string_to_metric_families(text)}
+    read = {
+        f.name: {s.labels.get("priority"): s.value for s in f.samples} for f in text_string_to_metric_families(text)
+    }
     assert read["app_fulfilled"] == {name: float(count) for name, count in classes.items()}
     assert read["app_relayed"] == {None: float(relayed)}
     assert (read["app_open_requests"], read["app_registry_entries"], read["app_out_of_rotation"]) == (
-        {None: 14.0}, {None: 5.0}, {None: 1.0})
+        {None: 14.0},
+        {None: 5.0},
+        {None: 1.0},
+    )
 
 
 def test_reading_the_largest_list_is_cheap(make) -> None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -32,6 +32,7 @@
             p.move(more, None)
         p.close()
         return p
+
     return asyncio.run(inside())
 
 
@@ -47,8 +48,13 @@
 
 def test_an_instance_that_stands_twice_is_told(said) -> None:
     row = {"name": "s1", "status": "SERVING"}
-    _, _, rows = endpoint_watcher.news_of({"index": 1, "snapshot": True, "endpoints": [
-        {**row, "address": "127.0.0.1:1"}, {**row, "address": "127.0.0.1:2"}]})
+    _, _, rows = endpoint_watcher.news_of(
+        {
+            "index": 1,
+            "snapshot": True,
+            "endpoints": [{**row, "address": "127.0.0.1:1"}, {**row, "address": "127.0.0.1:2"}],
+        }
+    )
     assert [r.address for r in rows] == [B]
     assert said == [f"name table: s1 stands twice, at {A} and {B}: the later row counts"]
 
@@ -70,10 +76,17 @@
     assert h.b.gossip.tier_load() == 9_000_000 and not h.b.turn.warnings
 
 
-@pytest.mark.parametrize(("peer", "data", "told"), [
-    (1, b"\1\2", "cannot be read"), (1, b"\2" + encode(2, 1, 1, [])[1:], "cannot be read"),
-    (1, encode(2, 1e15, 300, []), "absurd"), (1, encode(2, 1e6, 2_000_000, []), "absurd"),
-    (2, encode(2, 1e6, 3, [(0, 1e15)]), "absurd"), (4, encode(2, 1e6, 3, []), "the settings name 4")])
+@pytest.mark.parametrize(
+    ("peer", "data", "told"),
+    [
+        (1, b"\1\2", "cannot be read"),
+        (1, b"\2" + encode(2, 1, 1, [])[1:], "cannot be read"),
+        (1, encode(2, 1e15, 300, []), "absurd"),
+        (1, encode(2, 1e6, 2_000_000, []), "absurd"),
+        (2, encode(2, 1e6, 3, [(0, 1e15)]), "absurd"),
+        (4, encode(2, 1e6, 3, []), "the settings name 4"),
+    ],
+)
 def test_an_unsound_summary_is_told_and_the_one_before_stands(peer: int, data: bytes, told: str) -> None:
     h = tier()
     h.give(interface.GossipReceived(peer, data))
@@ -83,8 +96,12 @@
     assert h.b.turn.warnings == []
 
 
-@given(active=st.floats(0, 1e9), clients=st.integers(0, 100_000), line=st.lists(
-    st.tuples(st.integers(0, 60), st.floats(0, 1e7)), max_size=20), peer=st.integers(0, 39))
+@given(
+    active=st.floats(0, 1e9),
+    clients=st.integers(0, 100_000),
+    line=st.lists(st.tuples(st.integers(0, 60), st.floats(0, 1e7)), max_size=20),
+    peer=st.integers(0, 39),
+)
 def test_what_a_balancer_of_the_tier_says_is_believed(active, clients, line, peer) -> None:
     read = decode(encode(7, active, clients, line))
     assert fault(peer, 40, read, 25_000.0 * 600) == "" == fault(peer, 40, read, 0.0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -33,15 +33,25 @@
 
 
 def glenrock(*given: object, cwd: Path = ROOT) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-c", "from glenrock.cli import main; main()", *map(str, given)],
-                          capture_output=True, text=True, cwd=cwd, timeout=120)
+    return subprocess.run(
+        [sys.executable, "-c", "from glenrock.cli import main; main()", *map(str, given)],
+        capture_output=True,
+        text=True,
+        cwd=cwd,
+        timeout=120,
+    )
 
 
 def test_a_run_writes_all_it_names(small: Path, tmp_path: Path, capsys) -> None:
     out = tmp_path / "deep" / "out"
     assert run(["lab", "run", str(small), "--seed", "3", "--out", str(out)]) == 0
     assert sorted(p.name for p in out.iterdir()) == [
-        "heat.csv", "histograms.json", "report.html", "series.csv", "summary.json"]
+        "heat.csv",
+        "histograms.json",
+        "report.html",
+        "series.csv",
+        "summary.json",
+    ]
     s = json.loads((out / "summary.json").read_text())
     assert (s["experiment"], s["seed"], s["policy"]) == ("small", 3, "glenrock")
     assert {"whole", "worst_window", "worst_class", "worst_tenant"} <= set(s["worth"])
@@ -57,24 +67,27 @@
     assert not [p for p in out.parent.iterdir() if p.name.startswith(".")]
 
 
-@pytest.mark.parametrize("given,told", [
-    (["lab", "run", "nowhere.toml"], "nowhere.toml: No such file or directory"),
-    (["lab", "run", "SMALL", "--policy", "best"], "--policy best: not one of glenrock, random"),
-    (["lab", "run", "SMALL", "--seed", "x"], "'x' is not a valid integer"),
-    (["lab", "run", "SMALL", "--seed", "-1"], "-1 is not in the range"),
-    (["lab", "run", "SMALL", "--set", "fleet.balancers=0"], "fleet.balancers: Expected `int` >= 1"),
-    (["lab", "run", "SMALL", "--set", "fleet"], "--set fleet: expected KEY=VALUE"),
-    (["lab", "run", "SMALL", "--out", "/proc/no/such"], "/proc/no/such: "),
-    (["lab", "run", "SMALL", "--out", "FULL"], "holds other things than results"),
-    (["lab", "run", "SMALL", "--out", "SMALL"], "not a folder"),
-    (["lab", "sweep", "SMALL", "--seeds", "none"], "--seeds none: expected a count"),
-    (["lab", "compare", "SMALL", "SMALL"], "neither a folder of results nor FILE@POLICY"),
-    (["lab", "report", "FULL"], "summary.json: No such file or directory"),
-    (["lab", "fly"], "No such command 'fly'"),
-    (["check", "SMALL", "--fast"], "No such option"),
-    (["check", "x.yaml"], "neither .toml nor .json"),
-    (["serve", "--config", "nowhere.json"], "LB_CONFIG: cannot read nowhere.json"),
-])
+@pytest.mark.parametrize(
+    "given,told",
+    [
+        (["lab", "run", "nowhere.toml"], "nowhere.toml: No such file or directory"),
+        (["lab", "run", "SMALL", "--policy", "best"], "--policy best: not one of glenrock, random"),
+        (["lab", "run", "SMALL", "--seed", "x"], "'x' is not a valid integer"),
+        (["lab", "run", "SMALL", "--seed", "-1"], "-1 is not in the range"),
+        (["lab", "run", "SMALL", "--set", "fleet.balancers=0"], "fleet.balancers: Expected `int` >= 1"),
+        (["lab", "run", "SMALL", "--set", "fleet"], "--set fleet: expected KEY=VALUE"),
+        (["lab", "run", "SMALL", "--out", "/proc/no/such"], "/proc/no/such: "),
+        (["lab", "run", "SMALL", "--out", "FULL"], "holds other things than results"),
+        (["lab", "run", "SMALL", "--out", "SMALL"], "not a folder"),
+        (["lab", "sweep", "SMALL", "--seeds", "none"], "--seeds none: expected a count"),
+        (["lab", "compare", "SMALL", "SMALL"], "neither a folder of results nor FILE@POLICY"),
+        (["lab", "report", "FULL"], "summary.json: No such file or directory"),
+        (["lab", "fly"], "No such command 'fly'"),
+        (["check", "SMALL", "--fast"], "No such option"),
+        (["check", "x.yaml"], "neither .toml nor .json"),
+        (["serve", "--config", "nowhere.json"], "LB_CONFIG: cannot read nowhere.json"),
+    ],
+)
 def test_bad_input_is_one_line_and_exit_2(small: Path, tmp_path: Path, capsys, monkeypatch, given, told) -> None:
     monkeypatch.setenv("LB_CONFIG", "")
     full = tmp_path / "full"
@@ -104,7 +117,8 @@
 
 
 def test_a_sweep_is_the_same_in_one_process_and_in_eight_and_goes_on_where_it_stopped(
-        small: Path, tmp_path: Path) -> None:
+    small: Path, tmp_path: Path
+) -> None:
     small.write_text(SMALL + '[sweep]\n"fleet.instances" = [3, 5]\n')
     given = ["lab", "sweep", small, "--seeds", "2", "--policy", "random", "--policy", "glenrock"]
     one, eight = tmp_path / "one", tmp_path / "eight"
@@ -125,8 +139,26 @@
 def test_ctrl_c_keeps_what_is_finished(small: Path, tmp_path: Path) -> None:
     out = tmp_path / "out"
     child = subprocess.Popen(
-        [sys.executable, "-c", "from glenrock.cli import main; main()", "lab", "sweep", str(small), "--seeds", "3000",
-         "--jobs", "2", "--policy", "random", "--out", str(out)], cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        [
+            sys.executable,
+            "-c",
+            "from glenrock.cli import main; main()",
+            "lab",
+            "sweep",
+            str(small),
+            "--seeds",
+            "3000",
+            "--jobs",
+            "2",
+            "--policy",
+            "random",
+            "--out",
+            str(out),
+        ],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     limit = time.monotonic() + 60
     while len(list((out / "runs").glob("*.json"))) < 5 and time.monotonic() < limit:
         time.sleep(0.05)
@@ -139,8 +171,10 @@
 
 def test_compare_pairs_by_seed(small: Path, tmp_path: Path, capsys) -> None:
     out = tmp_path / "o"
-    assert run(["lab", "compare", f"{small}@random", f"{small}@random", "--seeds", "4", "--jobs", "1",
-                "--out", str(out)]) == 0
+    assert (
+        run(["lab", "compare", f"{small}@random", f"{small}@random", "--seeds", "4", "--jobs", "1", "--out", str(out)])
+        == 0
+    )
     found = json.loads((out / "compare.json").read_text())
     goal = next(r for r in found["rows"] if r["measure"] == "worth.goal")
     assert (goal["pairs"], goal["difference"], goal["p"]) == (4, 0.0, 1.0)
@@ -150,8 +184,10 @@
 def test_check_and_list(small: Path, tmp_path: Path, capsys) -> None:
     assert run(["check", str(small)]) == 0
     config = tmp_path / "c.json"
-    config.write_text('{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"classes": ['
-                      '{"name": "a", "targetUs": 1, "deadlineUs": 2}]}}')
+    config.write_text(
+        '{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"classes": ['
+        '{"name": "a", "targetUs": 1, "deadlineUs": 2}]}}'
+    )
     assert run(["check", str(config)]) == 0
     assert run(["lab", "list", "--folder", str(ROOT / "experiments")]) == 0
     said = capsys.readouterr().out
@@ -161,11 +197,19 @@
 
 
 def test_serving_imports_none_of_the_tools() -> None:
-    code = ("import sys, glenrock.__main__; found = ' '.join(sorted({m.split('.')[0] for m in sys.modules} & "
-            "{'click', 'msgspec', 'numpy', 'matplotlib', 'rich', 'jinja2', 'hdrh', 'xxhash', 'structlog', 'aiohttp'}))")
+    code = (
+        "import sys, glenrock.__main__; found = ' '.join(sorted({m.split('.')[0] for m in sys.modules} & "
+        "{'click', 'msgspec', 'numpy', 'matplotlib', 'rich', 'jinja2', 'hdrh', 'xxhash', 'structlog', 'aiohttp'}))"
+    )
     tools = ("glenrock.lab", "glenrock.stage", "glenrock.coordination")
     code += f"; found += ' '.join(m for m in sys.modules if m.startswith({tools}))"
     code += "\nsys.exit(found or 0)"
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, timeout=60,
-                          env={**os.environ, "PYTHONPATH": str(ROOT)})
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        timeout=60,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+    )
     assert done.returncode == 0, done.stderr
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,17 +15,33 @@
 from glenrock.routing import interface
 
 ROOT = Path(__file__).resolve().parent.parent
-GOOD = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
-        "settings": {"classes": [{"name": "c", "targetUs": 1000, "deadlineUs": 2000}],
-                     "report": {"how": "probe", "names": ["utilization", "backlog", "x0"]},
-                     "domain": {"tellsDelay": True}}}
+GOOD = {
+    "name": "n0",
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "seed": "ff",
+    "settings": {
+        "classes": [{"name": "c", "targetUs": 1000, "deadlineUs": 2000}],
+        "report": {"how": "probe", "names": ["utilization", "backlog", "x0"]},
+        "domain": {"tellsDelay": True},
+    },
+}
 
 
 class Configuration(unittest.TestCase):
     def test_faults_name_their_key(self) -> None:
-        for key, value in (("listen", "nowhere"), ("discovery", "h:99999"), ("seed", "xyz"), ("peers", "a:1"),
-                           ("peers", ["a"]), ("limits", {"sockets": 3}), ("limits", {"sockets": "many"}),
-                           ("settings", {}), ("settings", {"classes": []}), ("known", [])):
+        for key, value in (
+            ("listen", "nowhere"),
+            ("discovery", "h:99999"),
+            ("seed", "xyz"),
+            ("peers", "a:1"),
+            ("peers", ["a"]),
+            ("limits", {"sockets": 3}),
+            ("limits", {"sockets": "many"}),
+            ("settings", {}),
+            ("settings", {"classes": []}),
+            ("known", []),
+        ):
             with self.subTest(key=key, value=value), self.assertRaisesRegex(ConfigError, key):
                 check({**GOOD, key: value})
 
@@ -48,8 +64,13 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
             path.write_text(json.dumps({**GOOD, "listen": "127.0.0.1:0"}))
-            program = subprocess.Popen([sys.executable, "-B", "-m", "glenrock"], cwd=ROOT, text=True,
-                                       stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(path)})
+            program = subprocess.Popen(
+                [sys.executable, "-B", "-m", "glenrock"],
+                cwd=ROOT,
+                text=True,
+                stderr=subprocess.PIPE,
+                env={**os.environ, "LB_CONFIG": str(path)},
+            )
 
             def until(words: str) -> None:
                 for line in program.stderr:
@@ -78,7 +99,13 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
             path.write_text(json.dumps({**GOOD, "listen": "nowhere"}))
-            done = subprocess.run([sys.executable, "-B", "-m", "glenrock"], cwd=ROOT, capture_output=True,
-                                  text=True, timeout=30, env={**os.environ, "LB_CONFIG": str(path)})
+            done = subprocess.run(
+                [sys.executable, "-B", "-m", "glenrock"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=30,
+                env={**os.environ, "LB_CONFIG": str(path)},
+            )
         self.assertEqual(done.returncode, 2)
         self.assertEqual(done.stderr, "glenrock: listen: expected host:port, got 'nowhere'\n")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -64,10 +64,19 @@
         self.doors = {name: door() for name in names or ("s1",)}
         self.discovery, self.index = door(), 1
         classes = [{**SETTINGS["classes"][0], "effect": effect}]
-        self.program = Program(check({
-            "name": "n0", "listen": "127.0.0.1:0", "seed": "7", "known": self.rows(),
-            "discovery": address(self.discovery),
-            "settings": {**SETTINGS, "balancers": 1, "classes": classes, **over}}), self.clock)
+        self.program = Program(
+            check(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "seed": "7",
+                    "known": self.rows(),
+                    "discovery": address(self.discovery),
+                    "settings": {**SETTINGS, "balancers": 1, "classes": classes, **over},
+                }
+            ),
+            self.clock,
+        )
         self.entrance, self.commands = self.program.acceptor, self.program.connections.by_id
         starting = asyncio.create_task(self.program.start())
         self.list = await self.accepted(self.discovery)
@@ -78,9 +87,19 @@
         return self
 
     def rows(self, **states: str) -> dict:
-        rows = [{"name": name, "address": address(sock), "zone": "a", "type": "m", "group": 0,
-                 "status": states.get(name, "SERVING"), "weight": 1.0, "since_ms": 0}
-                for name, sock in self.doors.items()]
+        rows = [
+            {
+                "name": name,
+                "address": address(sock),
+                "zone": "a",
+                "type": "m",
+                "group": 0,
+                "status": states.get(name, "SERVING"),
+                "weight": 1.0,
+                "since_ms": 0,
+            }
+            for name, sock in self.doors.items()
+        ]
         return {"index": self.index, "snapshot": True, "endpoints": rows}
 
     def say(self, **states: str) -> None:
@@ -180,11 +199,13 @@
 def played(story: Callable[[Rig], Awaitable[None]]) -> None:
     async def play() -> None:
         await asyncio.wait_for(story(Rig()), 20)
+
     uvloop.run(play())
 
 
 # -- a client that has left while its request waited ------------------------------------------------
 
+
 async def queued(rig: Rig, leave: Callable[[socket.socket], None]) -> None:
     """The attempt lies with the instance's actor; the client's end is told before its first step."""
     await rig.open()
@@ -197,7 +218,11 @@
         nonlocal start_attempt
         start_attempt = command.start_attempt
         command.start_attempt = lambda name, ms: (
-            start_attempt(name, ms), command.mailbox.mail.appendleft(RelayEnd.CLIENT_FIN), command.mailbox.wake())
+            start_attempt(name, ms),
+            command.mailbox.mail.appendleft(RelayEnd.CLIENT_FIN),
+            command.mailbox.wake(),
+        )
+
     await caught()
     leave(client)
 
@@ -259,8 +284,14 @@
     address = listener.getsockname()
     listener.close()
     client = rig.client(b"OPEN x1 1 c=look,at=s1\r\n")
-    await rig.until(lambda: rig.commands and rig.commands["x1"].attempt
-                    and rig.commands["x1"].attempt.task and rig.commands["x1"].attempt.task.done())
+    await rig.until(
+        lambda: (
+            rig.commands
+            and rig.commands["x1"].attempt
+            and rig.commands["x1"].attempt.task
+            and rig.commands["x1"].attempt.task.done()
+        )
+    )
     await rig.turns()
     leave(client)
     await rig.turns()
@@ -281,6 +312,7 @@
         gone()
         rig.program.servers.get("s1").entry.status = "SERVING"
         rig.program.routing.act(interface.StartAttempt("x1", "s1", 900_000))
+
     command.forget = crossed
     leave(client)
 
@@ -304,6 +336,7 @@
         await asyncio.wait([pump])
         leave(client)
         return await attempt(x)
+
     instance.attempt = first
     client = rig.client(LINE)
     await rig.until(lambda: rig.commands)
@@ -315,11 +348,13 @@
     async def story(rig: Rig) -> None:
         await place(rig, lambda client: closed(client, reset))
         await rig.nothing_was_sent()
+
     played(story)
 
 
 # -- the end of the process, and of connections that rest -------------------------------------------
 
+
 def test_a_request_in_the_queue_when_the_last_is_taken_has_its_answer() -> None:
     async def story(rig: Rig) -> None:
         await rig.open()
@@ -329,6 +364,7 @@
         assert data.startswith(b"BUSY ") and end == "fin"
         client.close()
         await rig.nothing_was_sent()
+
     played(story)
 
 
@@ -345,13 +381,18 @@
         assert (data == b"ERR\r\n" if late == LINE[:9] else data.startswith(b"BUSY ")) and end == "fin"
         client.close()
         await rig.nothing_was_sent()
+
     played(story)
 
 
-@pytest.mark.parametrize("caps,words", [
-    ({"retryAfter": True, "maxRetryAfterUs": 400_000}, (b"BUSY 400\r\n", b"BUSY 400\r\n")),
-    ({"retryAfter": True, "maxRetryAfterUs": 9_000_000}, (b"BUSY 1000\r\n", b"BUSY 1000\r\n")),
-    ({"retryAfter": False, "maxRetryAfterUs": 400_000}, (b"BUSY\r\n", b"BUSY\r\n"))])
+@pytest.mark.parametrize(
+    "caps,words",
+    [
+        ({"retryAfter": True, "maxRetryAfterUs": 400_000}, (b"BUSY 400\r\n", b"BUSY 400\r\n")),
+        ({"retryAfter": True, "maxRetryAfterUs": 9_000_000}, (b"BUSY 1000\r\n", b"BUSY 1000\r\n")),
+        ({"retryAfter": False, "maxRetryAfterUs": 400_000}, (b"BUSY\r\n", b"BUSY\r\n")),
+    ],
+)
 def test_nobody_is_told_at_the_end_to_wait_longer_than_clients_do(caps, words) -> None:
     async def story(rig: Rig) -> None:
         await rig.open(caps={**SETTINGS["caps"], **caps})
@@ -363,6 +404,7 @@
             while not end.done():
                 await rig.run(10)
         assert (rig.read(rests), rig.read(waits)) == words
+
     played(story)
 
 
@@ -378,11 +420,13 @@
         async def told_at_the_end() -> bytes:
             await rig.program.shutdown.stop(True, None)
             return rig.read(client)
+
         end = asyncio.create_task(told_at_the_end())
         async with asyncio.timeout(10):
             while not end.done():
                 await rig.run(10)
         assert end.result().startswith(b"BUSY ")
+
     played(story)
 
 
@@ -395,6 +439,7 @@
         assert rig.read(client) == b""
         await rig.run(LAST_MS + 20)
         assert await rig.rest(client) == (b"ERR\r\n", "fin")
+
     played(story)
 
 
@@ -414,6 +459,7 @@
             assert await rig.until(lambda: rig.read(client)) == b"UP r\r\n"
         else:
             assert (await rig.rest(client))[0].startswith(b"BUSY ")
+
     played(story)
 
 
@@ -428,11 +474,14 @@
             while got != b"PONG\r\nPONG\r\nUP r\r\n":
                 got += rig.read(client)
                 await asyncio.sleep(0)
+
     played(story)
 
 
-@pytest.mark.parametrize("effect,sent,word", [("safe", True, b"BUSY"), ("keyed", True, b"BUSY"),
-                                              ("unsafe", True, b"ERR"), ("unsafe", False, b"BUSY")])
+@pytest.mark.parametrize(
+    "effect,sent,word",
+    [("safe", True, b"BUSY"), ("keyed", True, b"BUSY"), ("unsafe", True, b"ERR"), ("unsafe", False, b"BUSY")],
+)
 def test_who_waits_at_the_end_is_told_to_come_again_only_where_that_is_harmless(effect, sent, word) -> None:
     async def story(rig: Rig) -> None:
         await rig.open(effect=effect)
@@ -447,11 +496,13 @@
         assert data.startswith(word) and data.count(b"\n") == 1 and end == "fin"
         if at:
             assert (await rig.rest(at))[0] == b""  # the attempt has ended too
+
     played(story)
 
 
 # -- answers that meet decisions --------------------------------------------------------------------
 
+
 def test_one_that_came_up_as_it_was_refused_stands_and_the_module_knows_it() -> None:
     async def story(rig: Rig) -> None:
         client, at, command = await rig.asked()
@@ -460,6 +511,7 @@
         def crossed(x, outcome) -> None:  # the answer, and right behind it the module's last word
             answered(x, outcome)
             refused(rig, command)
+
         command.attempt.done = crossed
         at.sendall(b"UP r\r\n")
         assert await rig.until(lambda: rig.read(client)) == b"UP r\r\n"
@@ -467,6 +519,7 @@
         rig.say(s1="DRAINING")
         await rig.run(2600)
         assert (await rig.rest(client))[0] == b"MOVE\r\n"
+
     played(story)
 
 
@@ -479,6 +532,7 @@
         assert await rig.rest(at) == (b"", "fin")
         data, end = await rig.rest(client)
         assert data == b"BUSY 500\r\n" and end == "fin"
+
     played(story)
 
 
@@ -491,12 +545,14 @@
         assert await rig.rest(at) == (b"", "fin")
         at.close()
         await rig.until(lambda: not rig.commands)
+
     played(story)
 
 
 @pytest.mark.parametrize("reads", [True, False])
 def test_a_client_is_moved_while_its_instance_hangs_within_a_line(reads: bool) -> None:
     """And while what the client sends fills the way to an instance that does not read."""
+
     async def story(rig: Rig) -> None:
         await rig.open()
         client, at = await rig.up()
@@ -521,6 +577,7 @@
         assert got == b"MOVE\r\n"
         client.close()
         await rig.until(lambda: not rig.commands)
+
     played(story)
 
 
@@ -534,10 +591,12 @@
             order = [lambda: answered(x, outcome), lambda: command.mailbox.deliver(AnswerNow(700))]
             for act in order if first == "answer" else reversed(order):
                 act()
+
         command.attempt.done = crossed
         at.sendall(b"UP r\r\n")
         assert await rig.rest(at) == (b"", "fin")
         assert await rig.rest(client) == (b"UP r\r\nMOVE\r\n" if first == "answer" else b"BUSY 700\r\n", "fin")
+
     played(story)
 
 
@@ -551,17 +610,22 @@
         assert await rig.rest(at) == (b"", "fin")
         data, end = await rig.rest(client)
         assert data.split()[0] in (b"BUSY", b"ERR") and data.count(b"\n") == 1 and end == "fin"
+
     played(story)
 
 
 def test_a_line_whose_writing_was_stopped_may_have_run(monkeypatch) -> None:
     """Its last byte may be out: whoever may not be asked twice is failed, and no other instance gets it."""
     monkeypatch.setattr(instance_part.protocol, "with_wait", lambda line, ms: line + b"z" * (16 << 20))
+
     async def story(rig: Rig) -> None:
         await rig.open("s1", "s2", effect="unsafe")
         client = rig.client(LINE)
-        await rig.until(lambda: rig.commands and rig.commands["x1"].attempt
-                        and rig.commands["x1"].attempt.reach == Reach.PARTLY_WRITTEN)
+        await rig.until(
+            lambda: (
+                rig.commands and rig.commands["x1"].attempt and rig.commands["x1"].attempt.reach == Reach.PARTLY_WRITTEN
+            )
+        )
         await rig.run(1600)
         assert rig.read(client) == b"ERR\r\n"
         came = 0
@@ -571,6 +635,7 @@
                     rig.keep(listener.accept()[0])
                     came += 1
         assert came == 1
+
     played(story)
 
 
@@ -587,6 +652,7 @@
             elsewhere.append(rig.keep(command.sock.dup()))
             await rig.turns()
             return taken
+
         client.sendall(late) if late else client.shutdown(socket.SHUT_WR)  # no turn of the loop before the offer
         handed = await command.hand_over(give)
         assert handed is taken
@@ -597,6 +663,7 @@
         else:
             assert await rig.rest(at) == (b"", "fin")
         at.close()
+
     played(story)
 
 
@@ -614,6 +681,7 @@
             sock.close()
         await rig.run(LINGER_MS + 20)
         assert not rig.commands
+
     played(story)
 
 
@@ -630,6 +698,7 @@
                 await rig.run(10)
         end.result()
         assert rig.read(client) == b"UP r\r\nMOVE\r\n" and not rig.commands
+
     played(story)
 
 
@@ -652,11 +721,13 @@
             await rig.until(lambda: instance.prober.done())
             at.close()  # idle: the program does not look at it now
         assert [r.outcome for r in results] == ["served", "served"]
+
     played(story)
 
 
 def test_a_silent_watch_is_given_up_before_what_it_misses_counts() -> None:
     """The agent has a drain from the moment the watch fell silent; nothing new goes there after the grace."""
+
     async def story(rig: Rig) -> None:
         grace = 2000.0
         await rig.open(obligations={**SETTINGS["obligations"], "drainGraceUs": grace * 1000})
@@ -676,12 +747,14 @@
         await rig.turns()
         client = rig.client(LINE)
         assert (await rig.until(lambda: rig.clock.advance(10) or rig.read(client))).startswith(b"BUSY")
+
     played(story)
 
 
 @pytest.mark.parametrize("answered", [True, False])
 def test_discovery_that_moves_as_its_answer_comes_leaves_no_version_behind(answered: bool) -> None:
     """The new one knows nothing of the old one's versions: it is asked for the whole list, and its list counts."""
+
     async def story(rig: Rig) -> None:
         await rig.open()
         await rig.until(lambda: b"index=2" in rig.read(rig.list))
@@ -693,20 +766,44 @@
         assert (await rig.until(lambda: rig.read(rig.list))).startswith(b"GET /discovery/hosts HTTP")
         rig.say()
         await rig.up()
+
     played(story)
 
 
 # -- any order ---------------------------------------------------------------------------------------
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("instance"), st.sampled_from([b"one\r\n", b"tw", b"o\r\nthr", b"\r\n", b"LOAD 3\r\n"])),
-    st.tuples(st.sampled_from(["client", "move", "dismiss", "turns", "time", "instance fin", "instance rst",
-                               "client fin", "client rst", "nack"]), st.just(b""))), max_size=12)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("instance"), st.sampled_from([b"one\r\n", b"tw", b"o\r\nthr", b"\r\n", b"LOAD 3\r\n"])),
+        st.tuples(
+            st.sampled_from(
+                [
+                    "client",
+                    "move",
+                    "dismiss",
+                    "turns",
+                    "time",
+                    "instance fin",
+                    "instance rst",
+                    "client fin",
+                    "client rst",
+                    "nack",
+                ]
+            ),
+            st.just(b""),
+        ),
+    ),
+    max_size=12,
+)
 
 
 @limits(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
-@given(before=st.lists(st.sampled_from(["turns", "nack", "dismiss", "client fin", "client rst", "half", "busy", "up"]),
-                       max_size=4), steps=STEPS)
+@given(
+    before=st.lists(
+        st.sampled_from(["turns", "nack", "dismiss", "client fin", "client rst", "half", "busy", "up"]), max_size=4
+    ),
+    steps=STEPS,
+)
 def test_whatever_the_order_each_has_one_answer_or_end_and_nothing_is_left(before, steps) -> None:
     async def story(rig: Rig) -> None:
         await rig.open()
@@ -765,6 +862,7 @@
         for sock in (client, at):
             sock.close()
         await rig.until(lambda: len(os.listdir("/proc/self/fd")) <= fds and len(asyncio.all_tasks()) <= tasks)
+
     played(story)
 
 
@@ -773,8 +871,11 @@
 
 
 @limits(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
-@given(script=st.lists(st.sampled_from(MOMENTS), max_size=14), leaves=st.sampled_from([None, None, "fin", "rst"]),
-       when=st.integers(0, 13))
+@given(
+    script=st.lists(st.sampled_from(MOMENTS), max_size=14),
+    leaves=st.sampled_from([None, None, "fin", "rst"]),
+    when=st.integers(0, 13),
+)
 def test_whatever_the_order_there_is_one_attempt_at_a_time_and_one_answer_in_time(script, leaves, when) -> None:
     async def story(rig: Rig) -> None:
         await rig.open("s1", "s2")
@@ -857,4 +958,5 @@
         async with asyncio.timeout(10):
             while rig.commands or stops and not stops.done():
                 await rig.run(10)
+
     played(story)
