--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -33,13 +33,30 @@
         self.server = await asyncio.start_server(self.instance, "127.0.0.1", 0)
         mute = self.mute = socket.create_server(("127.0.0.1", 0))
         port = self.server.sockets[0].getsockname()[1]
-        row = {"name": "s1", "address": f"127.0.0.1:{port}", "zone": "a", "type": "m",
-               "group": 0, "status": "SERVING", "weight": 1.0, "since_ms": 0}
+        row = {
+            "name": "s1",
+            "address": f"127.0.0.1:{port}",
+            "zone": "a",
+            "type": "m",
+            "group": 0,
+            "status": "SERVING",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
         settings = {**SETTINGS, "balancers": 1, "caps": {**SETTINGS["caps"], "maxAttempts": 1}}
-        self.program = Program(check({
-            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "settings": settings, "seed": "7",
-            "discovery": f"127.0.0.1:{mute.getsockname()[1]}",
-            "known": {"index": 1, "snapshot": True, "endpoints": [row]}}), Clock())
+        self.program = Program(
+            check(
+                {
+                    "listen": "127.0.0.1:0",
+                    "admin": "127.0.0.1:0",
+                    "settings": settings,
+                    "seed": "7",
+                    "discovery": f"127.0.0.1:{mute.getsockname()[1]}",
+                    "known": {"index": 1, "snapshot": True, "endpoints": [row]},
+                }
+            ),
+            Clock(),
+        )
         await self.program.start()
         self.port = self.program.acceptor.listener.getsockname()[1]
         self.counts, self.commands = self.program.connections.metrics, self.program.connections.by_id
@@ -96,8 +113,15 @@
         raise AssertionError(f"left: {list(self.commands)}, {len(self.program.acceptor.tasks)} connections")
 
 
-WANT = {"up": ("fulfilled",), "busy": ("throttled",), "err": ("faulted", "throttled"), "early": ("faulted",),
-        "leaves": ("left", "fulfilled"), "silent": ("left",), "floods": ("fulfilled",)}
+WANT = {
+    "up": ("fulfilled",),
+    "busy": ("throttled",),
+    "err": ("faulted", "throttled"),
+    "early": ("faulted",),
+    "leaves": ("left", "fulfilled"),
+    "silent": ("left",),
+    "floods": ("fulfilled",),
+}
 
 
 async def ended(seed: int) -> None:
@@ -108,8 +132,9 @@
     before = dict(site.counts.outcomes["fulfilled"])
     tasks, descriptors = len(asyncio.all_tasks()), len(os.listdir("/proc/self/fd"))
     script = [draw.choice(list(WANT)) for _ in range(40)]
-    await asyncio.gather(*(site.client(how, n, [draw.randrange(40) for _ in range(draw.randrange(4))])
-                           for n, how in enumerate(script)))
+    await asyncio.gather(
+        *(site.client(how, n, [draw.randrange(40) for _ in range(draw.randrange(4))]) for n, how in enumerate(script))
+    )
     await site.quiet()
     got = Counter({o: c["look"] for o, c in site.counts.outcomes.items()}) - Counter(fulfilled=before["look"])
     assert sum(got.values()) == len(script), (got, Counter(script))
@@ -121,8 +146,9 @@
         if len(os.listdir("/proc/self/fd")) <= descriptors and len(asyncio.all_tasks()) <= tasks:
             return
         await asyncio.sleep(0.02)
-    raise AssertionError(f"{len(os.listdir('/proc/self/fd'))} descriptors of {descriptors}, "
-                         f"{len(asyncio.all_tasks())} tasks of {tasks}")
+    raise AssertionError(
+        f"{len(os.listdir('/proc/self/fd'))} descriptors of {descriptors}, {len(asyncio.all_tasks())} tasks of {tasks}"
+    )
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -154,15 +180,16 @@
     uvloop.run(crowded())
 
 
-@given(st.lists(st.binary(max_size=12).map(lambda b: b.replace(b"\n", b" ")), max_size=6), st.binary(max_size=6),
-       st.data())
+@given(
+    st.lists(st.binary(max_size=12).map(lambda b: b.replace(b"\n", b" ")), max_size=6), st.binary(max_size=6), st.data()
+)
 def test_lines_cut_anywhere_are_the_same_lines(whole: list[bytes], rest: bytes, data: st.DataObject) -> None:
     rest = rest.replace(b"\n", b"")
     stream = b"".join(line + b"\n" for line in whole) + rest
     splitter, got, at = LineSplitter(), [], 0
     while at < len(stream):
         n = data.draw(st.integers(1, len(stream) - at))
-        got += splitter.feed(stream[at:at + n])
+        got += splitter.feed(stream[at : at + n])
         at += n
     assert got == [line + b"\n" for line in whole] and splitter.between == (not rest)
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -16,12 +16,27 @@
 from glenrock.program import Program
 
 HERE = Path(__file__).resolve().parent / "exchanges"
-SETTINGS = {"balancers": 2, "slotNo": 0, "tickUs": 2000,
-            "caps": {"maxAttempts": 3, "cancel": True, "mayTell": True, "retryAfter": True,
-                     "maxRetryAfterUs": 1000000, "dialTimeoutUs": 200000},
-            "classes": [{"name": "look", "targetUs": 300000, "deadlineUs": 1800000}],
-            "obligations": {"drainGraceUs": 6000000, "coldShare": 0.3, "coldUs": 9000000, "fallMultiple": 3,
-                            "overloadForUs": 3000000}}
+SETTINGS = {
+    "balancers": 2,
+    "slotNo": 0,
+    "tickUs": 2000,
+    "caps": {
+        "maxAttempts": 3,
+        "cancel": True,
+        "mayTell": True,
+        "retryAfter": True,
+        "maxRetryAfterUs": 1000000,
+        "dialTimeoutUs": 200000,
+    },
+    "classes": [{"name": "look", "targetUs": 300000, "deadlineUs": 1800000}],
+    "obligations": {
+        "drainGraceUs": 6000000,
+        "coldShare": 0.3,
+        "coldUs": 9000000,
+        "fallMultiple": 3,
+        "overloadForUs": 3000000,
+    },
+}
 
 
 class Ends:
@@ -71,25 +86,47 @@
         self.shown: dict[str, list[str]] = {}  # what operators were answered
 
     def row(self, name: str, status: str = "SERVING") -> dict:
-        return {"name": name, "address": f"127.0.0.1:{self.ports[name]}", "zone": "a", "type": "m",
-                "group": 0, "status": status, "weight": 1.0, "since_ms": 0}
+        return {
+            "name": name,
+            "address": f"127.0.0.1:{self.ports[name]}",
+            "zone": "a",
+            "type": "m",
+            "group": 0,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": 0,
+        }
 
     async def open(self, over: dict, silent: bool) -> None:
         for name, held in self.accepted.items():
+
             def on(reader, writer, held=held):
                 held.append(Ends(reader, writer))
                 if held is not self.accepted["discovery"] and held is not self.accepted["elsewhere"]:
                     self.anywhere.append(held[-1])
+
             server = await asyncio.start_server(on, "127.0.0.1", 0)
             self.ports[name] = server.sockets[0].getsockname()[1]
         known = {"index": 1, "snapshot": True, "endpoints": [self.row(name) for name in self.names]}
         self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.peer.bind(("127.0.0.1", 0))
         peer = f"127.0.0.1:{self.peer.getsockname()[1]}"
-        self.program = Program(check({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.ports['discovery']}",
-            "seed": "7", "known": known, "settings": {**SETTINGS, **over.pop("settings", {})},
-            "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:9", peer], **over}), self.clock)
+        self.program = Program(
+            check(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": f"127.0.0.1:{self.ports['discovery']}",
+                    "seed": "7",
+                    "known": known,
+                    "settings": {**SETTINGS, **over.pop("settings", {})},
+                    "peer_listen": "127.0.0.1:0",
+                    "peers": ["127.0.0.1:9", peer],
+                    **over,
+                }
+            ),
+            self.clock,
+        )
         starting = asyncio.create_task(self.program.start())
         if silent:
             while not starting.done():
@@ -142,8 +179,12 @@
         if who == "clock":
             await self.advance(float(text))
         elif what == "HUP":
-            new = {"listen": "127.0.0.1:0", "settings": SETTINGS, **json.loads(text),
-                   "discovery": f"127.0.0.1:{self.ports['elsewhere']}"}
+            new = {
+                "listen": "127.0.0.1:0",
+                "settings": SETTINGS,
+                **json.loads(text),
+                "discovery": f"127.0.0.1:{self.ports['elsewhere']}",
+            }
             self.program.reload(lambda begun: check(new))
         elif what == "lists":
             rows = [self.row(*part.split("=")) for part in text.split()]
@@ -192,8 +233,11 @@
 
 
 async def played(path: Path) -> None:
-    steps = [(n, line) for n, line in enumerate(path.read_text().splitlines(), 1)
-             if line.strip() and not line.startswith("#")]
+    steps = [
+        (n, line)
+        for n, line in enumerate(path.read_text().splitlines(), 1)
+        if line.strip() and not line.startswith("#")
+    ]
     head = json.loads(steps[0][1])
     stage = Stage(head.pop("instances", ["s1"]))
     await asyncio.wait_for(stage.open(head, head.pop("silent", False)), 5)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -10,8 +10,20 @@
 # What each part of the program must not import, not even for types.
 # The composition root is `program`; `__main__` starts it.
 FORBIDDEN = {
-    "routing": ("", "admin", "cli", "config", "coordination", "lab", "log", "net", "program", "stage", "toml_file",
-                "upgrade"),
+    "routing": (
+        "",
+        "admin",
+        "cli",
+        "config",
+        "coordination",
+        "lab",
+        "log",
+        "net",
+        "program",
+        "stage",
+        "toml_file",
+        "upgrade",
+    ),
     "net": ("__main__", "program", "admin", "cli", "coordination", "lab", "stage", "upgrade"),
     "upgrade": ("__main__", "program", "admin", "cli", "coordination", "lab", "stage"),
     "admin": ("__main__", "program", "cli", "coordination", "lab", "stage"),
@@ -20,8 +32,18 @@
 }
 # Circles that are still there; the list only shrinks.
 KNOWN_CIRCLES = {
-    frozenset({"lab.day", "lab.day_attempts", "lab.day_clients", "lab.day_processes", "lab.faults", "lab.shards",
-               "lab.policies", "lab.policies.oracle"}),
+    frozenset(
+        {
+            "lab.day",
+            "lab.day_attempts",
+            "lab.day_clients",
+            "lab.day_processes",
+            "lab.faults",
+            "lab.shards",
+            "lab.policies",
+            "lab.policies.oracle",
+        }
+    ),
     frozenset({"lab.model.balancer", "lab.model.client", "lab.model.instance"}),
     frozenset({"stage.faults", "stage.run", "stage.together"}),
 }
@@ -47,7 +69,7 @@
         elif isinstance(node, ast.ImportFrom):
             base = (node.module or "").removeprefix("glenrock").removeprefix(".")
             if node.level:
-                parts = package.split(".")[:len(package.split(".")) - node.level + 1] if package else []
+                parts = package.split(".")[: len(package.split(".")) - node.level + 1] if package else []
                 base = ".".join([*parts, *([node.module] if node.module else [])])
             elif not (node.module or "").startswith("glenrock"):
                 continue
@@ -68,13 +90,20 @@
                 seen.add(other)
                 todo.append(other)
         reached[name] = seen
-    return {frozenset({name} | {other for other in reached[name] if name in reached[other]})
-            for name in MODULES if name in reached[name]}
+    return {
+        frozenset({name} | {other for other in reached[name] if name in reached[other]})
+        for name in MODULES
+        if name in reached[name]
+    }
 
 
 def test_each_package_imports_only_what_lies_below_it() -> None:
-    wrong = [f"{name} imports {other}" for name in MODULES for other in sorted(imports_of(name))
-             if other.partition(".")[0] in FORBIDDEN.get(name.partition(".")[0], ())]
+    wrong = [
+        f"{name} imports {other}"
+        for name in MODULES
+        for other in sorted(imports_of(name))
+        if other.partition(".")[0] in FORBIDDEN.get(name.partition(".")[0], ())
+    ]
     assert not wrong, wrong
 
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -15,8 +15,13 @@
 DAY_MS = 60_000.0
 
 
-def unheard(paces: list[PollBackoff], service_ms: float = SERVICE_MS, day_ms: float = DAY_MS, known: bool = True,
-            line: int = LINE) -> int:
+def unheard(
+    paces: list[PollBackoff],
+    service_ms: float = SERVICE_MS,
+    day_ms: float = DAY_MS,
+    known: bool = True,
+    line: int = LINE,
+) -> int:
     """How many never hear, where a call that waited too long is turned away and takes its turn all the same."""
     calls = [(p.first(known), n) for n, p in enumerate(paces)]
     heapq.heapify(calls)
@@ -65,8 +70,10 @@
 
 
 @pytest.mark.parametrize("known", [True, False])
-@pytest.mark.parametrize("balancers, service_ms, heard", [
-    (3, 300, 3), (200, 5, 200), (200, 20, 200), (200, 100, 200), (200, 300, 120), (300, 100, 295), (1000, 20, 1000)])
+@pytest.mark.parametrize(
+    "balancers, service_ms, heard",
+    [(3, 300, 3), (200, 5, 200), (200, 20, 200), (200, 100, 200), (200, 300, 120), (300, 100, 295), (1000, 20, 1000)],
+)
 def test_a_tier_of_hundreds_is_heard_whatever_a_call_takes(balancers, service_ms, heard, known) -> None:
     """Nobody is told at once that the line is long: a call waits its 2 s, and is paid for all the same."""
     paces = [PollBackoff(balancers, True, random.Random(n)) for n in range(balancers)]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -22,9 +22,12 @@
 from glenrock.upgrade.process_marks import ProcessMarks
 
 ROOT = Path(__file__).resolve().parent.parent
-SETTINGS = {"balancers": 1, "caps": {"maxAttempts": 3, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 500000},
-            "classes": [{"name": "look", "targetUs": 300000, "deadlineUs": 1000000}],
-            "obligations": {"coldUs": 9000000}}
+SETTINGS = {
+    "balancers": 1,
+    "caps": {"maxAttempts": 3, "cancel": True, "retryAfter": True, "maxRetryAfterUs": 500000},
+    "classes": [{"name": "look", "targetUs": 300000, "deadlineUs": 1000000}],
+    "obligations": {"coldUs": 9000000},
+}
 
 
 def free_port() -> int:
@@ -53,8 +56,18 @@
         for name in self.served:
             server = await asyncio.start_server(lambda r, w, name=name: self.instance(name, r, w), "127.0.0.1", 0)
             self.servers.append(server)
-            rows.append({"name": name, "address": address(server), "zone": "a",
-                         "type": "m", "group": 0, "status": "SERVING", "weight": 1.0, "since_ms": 0})
+            rows.append(
+                {
+                    "name": name,
+                    "address": address(server),
+                    "zone": "a",
+                    "type": "m",
+                    "group": 0,
+                    "status": "SERVING",
+                    "weight": 1.0,
+                    "since_ms": 0,
+                }
+            )
         self.rows = {"index": 2, "snapshot": True, "endpoints": rows}
         self.servers.append(await asyncio.start_server(self.discovery, "127.0.0.1", 0))
 
@@ -76,17 +89,34 @@
         """A process beside those there are. Returns the port where its operators call, once it is ready."""
         admin, number = free_port(), len(self.processes)
         file = self.folder / f"config{number}.json"
-        file.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "7", "settings": SETTINGS, "known": self.rows,
-            "discovery": address(self.servers[-1])}))
+        file.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "seed": "7",
+                    "settings": SETTINGS,
+                    "known": self.rows,
+                    "discovery": address(self.servers[-1]),
+                }
+            )
+        )
         fd = self.listener.fileno()
-        env = {**os.environ, "LB_CONFIG": str(file), "LB_ADMIN": f"127.0.0.1:{admin}", "TMPDIR": str(self.folder),
-               "LB_ACCEPT_FD": str(fd)}
+        env = {
+            **os.environ,
+            "LB_CONFIG": str(file),
+            "LB_ADMIN": f"127.0.0.1:{admin}",
+            "TMPDIR": str(self.folder),
+            "LB_ACCEPT_FD": str(fd),
+        }
         for name in ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY"):
             env.pop(name, None)
         with open(self.folder / f"log{number}", "wb") as log:
-            self.processes.append(await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "glenrock", cwd=ROOT, env=env, pass_fds=(fd,), stderr=log))
+            self.processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "glenrock", cwd=ROOT, env=env, pass_fds=(fd,), stderr=log
+                )
+            )
         for _ in range(200):
             try:
                 if (await self.call(admin, "GET", "readyz")).startswith("200"):
@@ -265,12 +295,21 @@
     asyncio.run(both(tmp_path))
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"{", b"[]", b'{"version": 2, "out": [], "back": {}, "seen": []}', b'{"version": 1}',
-    b'{"version": 1, "out": [3], "back": {}, "seen": []}',
-    b'{"version": 1, "out": [], "back": {"a": "b"}, "seen": []}',
-    b'{"version": 1, "out": "s1", "back": {}, "seen": []}', b'\xff',
-    b'{"version": 1, "out": [""], "back": {}, "seen": []}'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"version": 2, "out": [], "back": {}, "seen": []}',
+        b'{"version": 1}',
+        b'{"version": 1, "out": [3], "back": {}, "seen": []}',
+        b'{"version": 1, "out": [], "back": {"a": "b"}, "seen": []}',
+        b'{"version": 1, "out": "s1", "back": {}, "seen": []}',
+        b"\xff",
+        b'{"version": 1, "out": [""], "back": {}, "seen": []}',
+    ],
+)
 def test_a_file_that_cannot_be_used_is_refused_whole(data: bytes, tmp_path: Path) -> None:
     (tmp_path / override_file.FILE_NAME).write_bytes(data)
     with pytest.raises(ValueError):
@@ -338,8 +377,15 @@
     assert override_file.parse(override_file.encode(shared)) == shared
 
 
-@pytest.mark.parametrize("make", [lambda: os.open("/dev/null", os.O_RDONLY), lambda: socket.socket().detach(),
-                                  lambda: socket.socket(type=socket.SOCK_DGRAM).detach(), lambda: 999])
+@pytest.mark.parametrize(
+    "make",
+    [
+        lambda: os.open("/dev/null", os.O_RDONLY),
+        lambda: socket.socket().detach(),
+        lambda: socket.socket(type=socket.SOCK_DGRAM).detach(),
+        lambda: 999,
+    ],
+)
 def test_a_descriptor_that_is_no_listening_socket_is_refused(make) -> None:
     with pytest.raises(ConfigError, match="^LB_ACCEPT_FD: "):
         inherited_listener.open_inherited(make())
