--- a/glenrock/cli/check.py
+++ b/glenrock/cli/check.py
@@ -35,8 +35,8 @@
 
         try:
             config = read({"LB_CONFIG": str(file)})
-        except ConfigError as bad:
-            raise InputFileError(f"{file}: {bad}") from None
+        except ConfigError as error:
+            raise InputFileError(f"{file}: {error}") from error
         click.echo(f"{file}: sound ({config.name or 'no name'}, listens on {config.listen[0]}:{config.listen[1]})")
     else:
         raise InputFileError(f"{file}: neither .toml nor .json")
--- a/glenrock/cli/demo.py
+++ b/glenrock/cli/demo.py
@@ -6,7 +6,7 @@
 
 import click
 
-from .main import Failed
+from .main import CommandFailedError
 
 
 @click.command("demo")
@@ -24,7 +24,7 @@
 
     file = Path(__file__).resolve().parents[2] / "scenes" / "three.toml"
     if not file.exists():
-        raise Failed(f"{file} is missing: the demo runs from a checkout")
+        raise CommandFailedError(f"{file} is missing: the demo runs from a checkout")
     summary = play(spec.load(file), 1, out, live)
     c = summary["counts"]
     click.echo(
--- a/glenrock/cli/fleet.py
+++ b/glenrock/cli/fleet.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from .main import Lazy
+from .main import LazyGroup
 
-command = Lazy(
+command = LazyGroup(
     "glenrock.cli",
     {"jobs": "fleet_jobs", "owner": "fleet_owner", "history": "fleet_history", "start-report": "fleet_start"},
     name="fleet",
--- a/glenrock/cli/fleet_history.py
+++ b/glenrock/cli/fleet_history.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import functools
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
-from . import fleet_ask as ask
+from . import store_queries
+
+if TYPE_CHECKING:
+    from ..coordination.leases.store import LeaseStore, PastTerm
 
 
 @click.command("history")
 @click.argument("job", required=False)
-@ask.file
+@store_queries.file_option
 @click.option("--at", multiple=True, help="A balancer's operators' address, host:port: what it refused. Repeatable.")
 def command(job: str | None, file: Path, at: tuple[str, ...]) -> None:
     """The last terms of a job, or of all, and what balancers refused of old ones.
@@ -21,11 +26,15 @@
       glenrock fleet history bans --file deploy/fleet.toml --at 127.0.0.1:9090
     Exit codes: 0 done, 1 the store or a balancer does not answer, 2 bad input.
     """
-    for name in [job] if job else sorted(ask.asked(file, lambda store: store.leases())):
-        for past in ask.asked(file, lambda store, name=name: store.past_terms(name)):
-            click.echo(f"{ask.when(past.at_s)}  {name}  term {past.term}  {past.holder}")
+    for name in [job] if job else sorted(store_queries.query_store(file, lambda store: store.leases())):
+        for past in store_queries.query_store(file, functools.partial(_past_terms, name)):
+            click.echo(f"{store_queries.local_time(past.at_s)}  {name}  term {past.term}  {past.holder}")
     for address in at:
-        seen = ask.view(address)
+        seen = store_queries.fetch_view(address)
         click.echo(f"{seen['name']}: {seen['refused']} refused since its start; the store: {seen['store']}")
         for r in seen["refusals"]:
-            click.echo(f"  {ask.when(r['at_ms'] / 1000)}  balancer {r['peer']}  {r['job']}  {r['why']}")
+            click.echo(f"  {store_queries.local_time(r['at_ms'] / 1000)}  balancer {r['peer']}  {r['job']}  {r['why']}")
+
+
+async def _past_terms(job: str, store: LeaseStore) -> list[PastTerm]:
+    return await store.past_terms(job)
--- a/glenrock/cli/fleet_jobs.py
+++ b/glenrock/cli/fleet_jobs.py
@@ -6,11 +6,11 @@
 
 import click
 
-from . import fleet_ask as ask
+from . import store_queries
 
 
 @click.command("jobs")
-@ask.file
+@store_queries.file_option
 def command(file: Path) -> None:
     """Every job that was ever held: term, owner, and how much of its lease is left where the store tells that.
 
@@ -19,8 +19,8 @@
       glenrock fleet jobs --file deploy/fleet.toml
     Exit codes: 0 done, 1 the store does not answer, 2 bad input.
     """
-    found = ask.asked(file, lambda store: store.leases())
+    found = store_queries.query_store(file, lambda store: store.leases())
     for job, lease in sorted(found.items()):
-        click.echo(f"{job}  term {lease.term}  {lease.holder or 'nobody'}  {ask.left(lease.left_us)}")
+        click.echo(f"{job}  term {lease.term}  {lease.holder or 'nobody'}  {store_queries.seconds_left(lease.left_us)}")
     if not found:
         click.echo("no job was ever held")
--- a/glenrock/cli/fleet_start.py
+++ b/glenrock/cli/fleet_start.py
@@ -4,8 +4,8 @@
 
 import click
 
-from . import fleet_ask as ask
-from .main import Failed
+from . import store_queries
+from .main import CommandFailedError
 
 
 @click.command("start-report")
@@ -21,9 +21,9 @@
     """
     from ..coordination.warm_start.start_report import report
 
-    views = {address: ask.view(address) for address in dict.fromkeys(at)}
+    views = {address: store_queries.fetch_view(address) for address in dict.fromkeys(at)}
     for address, view in views.items():
         if not isinstance(view.get("start"), dict):
-            raise Failed(f"{address}: tells nothing of its start: another version")
+            raise CommandFailedError(f"{address}: tells nothing of its start: another version")
     for line in report(list(views.values())):
         click.echo(line)
--- a/glenrock/cli/lab.py
+++ b/glenrock/cli/lab.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from .main import Lazy
+from .main import LazyGroup
 
-command = Lazy(
+command = LazyGroup(
     "glenrock.cli",
     {"run": "lab_run", "sweep": "lab_sweep", "compare": "lab_compare", "report": "lab_report", "list": "lab_list"},
     name="lab",
--- a/glenrock/cli/lab_compare.py
+++ b/glenrock/cli/lab_compare.py
@@ -29,7 +29,7 @@
     if not at:
         raise InputFileError(f"{what}: neither a folder of results nor FILE@POLICY")
     points = spec.points(Path(name), over)
-    return play(runner.tasks(points, seeds, [options.known_policy(policy)]), jobs, None, False)
+    return play(runner.tasks(points, seeds, [options.check_policy(policy)]), jobs, None, False)
 
 
 @click.command("compare")
@@ -50,7 +50,7 @@
       glenrock lab compare out/lab/before out/lab/after
     Exit codes: 0 done, 1 stopped, 2 bad input.
     """
-    which, changed = options.seed_list(seeds), options.overrides(over)
+    which, changed = options.parse_seeds(seeds), options.parse_overrides(over)
     from ..lab import plots, record, report
 
     left, right = runs_of(a, which, jobs, changed), runs_of(b, which, jobs, changed)
--- a/glenrock/cli/lab_list.py
+++ b/glenrock/cli/lab_list.py
@@ -27,8 +27,8 @@
             e = spec.load(path)
             axes = f"; sweeps {', '.join(e.sweep)}" if e.sweep else ""
             click.echo(f"  {path}: {e.title or e.name}{axes}")
-        except InputFileError as bad:
-            click.echo(f"  {bad}")
+        except InputFileError as error:
+            click.echo(f"  {error}")
     click.echo("policies:")
     for name, (_, what) in POLICIES.items():
         click.echo(f"  {name}: {what}")
--- a/glenrock/cli/lab_options.py
+++ b/glenrock/cli/lab_options.py
@@ -24,7 +24,12 @@
 )
 
 
-def known_policy(name: str) -> str:
+def check_policy(name: str) -> str:
+    """The name, where there is such a policy.
+
+    Raises:
+        InputFileError: there is none.
+    """
     from ..lab.policies import POLICIES
 
     if name not in POLICIES:
@@ -32,8 +37,12 @@
     return name
 
 
-def overrides(given: tuple[str, ...]) -> dict[str, Any]:
-    """KEY=VALUE pairs; a value is read as TOML, or else taken as text."""
+def parse_overrides(given: tuple[str, ...]) -> dict[str, Any]:
+    """KEY=VALUE pairs; a value is read as TOML, or else taken as text.
+
+    Raises:
+        InputFileError: a pair is none.
+    """
     out: dict[str, Any] = {}
     for pair in given:
         key, equals, text = pair.partition("=")
@@ -46,7 +55,12 @@
     return out
 
 
-def seed_list(text: str) -> list[int]:
+def parse_seeds(text: str) -> list[int]:
+    """The seeds that a count (10: 0 to 9) or a range (5-24) stands for.
+
+    Raises:
+        InputFileError: the text is neither.
+    """
     first, dash, last = text.partition("-")
     try:
         found = list(range(int(first), int(last) + 1)) if dash else list(range(int(first)))
@@ -55,3 +69,8 @@
     if not found or found[-1] > 2**63:
         raise InputFileError(f"--seeds {text}: expected a count such as 10, or a range such as 5-24")
     return found
+
+
+def counts_text(counts: dict[str, int]) -> str:
+    """Broken rules and how often, as one line tells them."""
+    return ", ".join(f"{name} {count} times" for name, count in counts.items())
--- a/glenrock/cli/lab_report.py
+++ b/glenrock/cli/lab_report.py
@@ -25,8 +25,8 @@
     if (folder / "sweep.json").is_file():
         try:
             text = report.of_sweep(json.loads((folder / "sweep.json").read_text(encoding="utf-8")))
-        except (OSError, ValueError, KeyError) as bad:
-            raise InputFileError(f"{folder / 'sweep.json'}: {bad}") from None
+        except (OSError, ValueError, KeyError) as error:
+            raise InputFileError(f"{folder / 'sweep.json'}: {error}") from error
     else:
         text = report.of_run(folder)
     record.file(folder / "report.html", text)
--- a/glenrock/cli/lab_run.py
+++ b/glenrock/cli/lab_run.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import click
 
 from . import lab_options as options
-from .main import Failed
+from .main import CommandFailedError
 
 
 @click.command("run")
@@ -25,11 +26,11 @@
       glenrock lab run experiments/crash-quarter.toml --seed 7 --policy two_choices --out out/seven
     Exit codes: 0 done, 1 the policy failed or a rule was broken, 2 bad input.
     """
-    options.known_policy(policy)
+    options.check_policy(policy)
     from ..lab import record, report, spec
     from ..lab.day import Day
 
-    e = spec.load(file, options.overrides(over))
+    e = spec.load(file, options.parse_overrides(over))
     into = out or Path("out") / "lab" / f"{e.name}-{policy}-{seed}"
     day = Day(e, seed, policy)
     if into.exists():  # told before the work, not after it
@@ -42,15 +43,16 @@
         (beside / "report.html").write_text(report.of_run(beside), encoding="utf-8")
 
     record.folder(into, fill)
-    tell(summary)
+    print_summary(summary)
     click.echo(f"results: {into}/summary.json, series.csv, report.html")
     if summary["failure"]:
-        raise Failed(f"{policy} failed: {summary['failure']}")
+        raise CommandFailedError(f"{policy} failed: {summary['failure']}")
     if broken := {k: v for k, v in summary["rules"].items() if v}:
-        raise Failed(f"rules broken: {', '.join(f'{k} {v} times' for k, v in broken.items())}; see report.html")
+        raise CommandFailedError(f"rules broken: {options.counts_text(broken)}; see report.html")
 
 
-def tell(s: dict) -> None:
+def print_summary(s: dict[str, Any]) -> None:
+    """Prints a day's summary."""
     fleet, worth, clock = s["fleet"], s["worth"], s["clock"]
     click.echo(
         f"{s['experiment']}, seed {s['seed']}, {s['policy']}: {fleet['balancers']} balancers, "
--- a/glenrock/cli/lab_sweep.py
+++ b/glenrock/cli/lab_sweep.py
@@ -5,15 +5,18 @@
 import csv
 from contextlib import closing
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from . import lab_options as options
-from .main import Failed
+from .main import CommandFailedError
 
+if TYPE_CHECKING:
+    from ..lab.runner import Task
 
-def play(todo: list, jobs: int, kept: Path | None, resume: bool) -> list[dict[str, Any]]:
+
+def play(todo: list[Task], jobs: int, kept: Path | None, resume: bool) -> list[dict[str, Any]]:
     """Runs with progress shown. Ctrl-C keeps what is finished."""
     from rich.console import Console
     from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
@@ -36,9 +39,9 @@
             with closing(runner.run_all(todo, jobs, kept, resume, lambda n: progress.advance(bar, n))) as runs:
                 for summary in runs:
                     found.append(summary)
-    except KeyboardInterrupt:
+    except KeyboardInterrupt as error:
         kept_at = f", kept in {kept}; --resume goes on" if kept else ""
-        raise Failed(f"stopped with {len(found)} of {len(todo)} runs finished{kept_at}") from None
+        raise CommandFailedError(f"stopped with {len(found)} of {len(todo)} runs finished{kept_at}") from error
     return runner.order(found)
 
 
@@ -91,18 +94,18 @@
       glenrock lab sweep experiments/lag-and-gains.toml --seeds 0-19 --resume
     Exit codes: 0 done, 1 stopped or a run failed, 2 bad input.
     """
-    names = [options.known_policy(p) for p in policies or ("glenrock",)]
-    which = options.seed_list(seeds)
+    names = [options.check_policy(p) for p in policies or ("glenrock",)]
+    which = options.parse_seeds(seeds)
     from ..lab import runner, spec
     from ..toml_file import InputFileError
 
-    points = spec.points(file, options.overrides(over))
+    points = spec.points(file, options.parse_overrides(over))
     e = points[0][1]
     into = out or Path("out") / "lab" / f"{e.name}-sweep"
     try:
         (into / "runs").mkdir(parents=True, exist_ok=True)
-    except OSError as bad:
-        raise InputFileError(f"{into}: {bad.strerror or bad}") from None
+    except OSError as error:
+        raise InputFileError(f"{into}: {error.strerror or error}") from error
     if not resume:
         for old in (into / "runs").glob("*.json"):
             old.unlink()
@@ -115,4 +118,4 @@
         click.echo(f"{where + ': ' if where else ''}{r['policy']}: {figure}, breaches a run {broken[0]:g}")
     click.echo(f"results: {into}/sweep.json, sweep.csv, report.html")
     if sweep["failed"]:
-        raise Failed(f"{sweep['failed']} of {sweep['runs']} runs failed: {'; '.join(sweep['failures'])}")
+        raise CommandFailedError(f"{sweep['failed']} of {sweep['runs']} runs failed: {'; '.join(sweep['failures'])}")
--- a/glenrock/cli/main.py
+++ b/glenrock/cli/main.py
@@ -10,14 +10,16 @@
 
 from ..toml_file import InputFileError
 
-DONE, FAILED, BAD = 0, 1, 2
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
 
 
-class Failed(Exception):
+class CommandFailedError(Exception):
     """What was asked for was sound and did not come about: exit 1, with this line."""
 
 
-class Lazy(click.Group):
+class LazyGroup(click.Group):
     """Sub-commands by name, each in a module of its own with a `command`."""
 
     def __init__(self, package: str, names: dict[str, str], **given: object) -> None:
@@ -25,9 +27,11 @@
         self.package, self.names = package, names
 
     def list_commands(self, ctx: click.Context) -> list[str]:
+        """The names, in the order of the help page."""
         return list(self.names)
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """Imports the sub-command\'s module; None where there is no such name."""
         if name not in self.names:
             return None
         found: click.Command = importlib.import_module(f"{self.package}.{self.names[name]}").command
@@ -35,7 +39,7 @@
 
 
 COMMANDS = {"serve": "serve", "check": "check", "lab": "lab", "stage": "stage", "fleet": "fleet", "demo": "demo"}
-ROOT = Lazy(
+ROOT = LazyGroup(
     "glenrock.cli",
     COMMANDS,
     name="glenrock",
@@ -54,26 +58,26 @@
     """Runs a command line and returns its exit code; tests call this."""
     try:
         code = ROOT.main(given, prog_name="glenrock", standalone_mode=False)
-        return code if isinstance(code, int) else DONE
-    except InputFileError as bad:
-        return told(str(bad), BAD)
-    except click.UsageError as bad:
-        where = f"{bad.ctx.command_path}: " if bad.ctx else ""
-        return told(f"{where}{bad.format_message()}".replace("\n", " "), BAD)
-    except click.ClickException as bad:
-        return told(bad.format_message(), BAD)
+        return code if isinstance(code, int) else EXIT_DONE
+    except InputFileError as error:
+        return _fail(str(error), EXIT_BAD_INPUT)
+    except click.UsageError as error:
+        where = f"{error.ctx.command_path}: " if error.ctx else ""
+        return _fail(f"{where}{error.format_message()}".replace("\n", " "), EXIT_BAD_INPUT)
+    except click.ClickException as error:
+        return _fail(error.format_message(), EXIT_BAD_INPUT)
     except click.Abort:
-        return told("stopped", FAILED)
-    except Failed as bad:
-        return told(str(bad), FAILED)
-    except ModuleNotFoundError as bad:
-        if (bad.name or "").split(".")[0] == "glenrock":
+        return _fail("stopped", EXIT_FAILED)
+    except CommandFailedError as error:
+        return _fail(str(error), EXIT_FAILED)
+    except ModuleNotFoundError as error:
+        if (error.name or "").split(".")[0] == "glenrock":
             raise
-        return told(f"{bad.name} is not installed: pip install 'glenrock[all]'", FAILED)
+        return _fail(f"{error.name} is not installed: pip install 'glenrock[all]'", EXIT_FAILED)
     except BrokenPipeError:
-        return FAILED
+        return EXIT_FAILED
 
 
-def told(text: str, code: int) -> int:
+def _fail(text: str, exit_code: int) -> int:
     print(f"glenrock: {text}", file=sys.stderr)
-    return code
+    return exit_code
--- a/glenrock/cli/stage.py
+++ b/glenrock/cli/stage.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from .main import Lazy
+from .main import LazyGroup
 
-command = Lazy(
+command = LazyGroup(
     "glenrock.cli",
     {"run": "stage_run"},
     name="stage",
--- a/glenrock/cli/stage_live.py
+++ b/glenrock/cli/stage_live.py
@@ -13,15 +13,15 @@
     from ..stage.run import Stage
 
 
-class Live:
-    """`shown` None: only where standard output is a terminal."""
+class LiveTable:
+    """Shows the table while a run goes on. `shown` None: only where standard output is a terminal."""
 
     def __init__(self, shown: bool | None) -> None:
         self.screen = (
             Screen(console=Console(), auto_refresh=False) if (sys.stdout.isatty() if shown is None else shown) else None
         )
 
-    def __enter__(self) -> Live:
+    def __enter__(self) -> LiveTable:
         if self.screen:
             self.screen.start()
         return self
@@ -31,11 +31,13 @@
             self.screen.stop()
 
     def second(self, stage: Stage) -> None:
+        """Called once a second."""
         if self.screen:
-            self.screen.update(table(stage), refresh=True)
+            self.screen.update(table_of(stage), refresh=True)
 
 
-def table(stage: Stage) -> Table:
+def table_of(stage: Stage) -> Table:
+    """The table: a row for each balancer, with the faults that are on above it."""
     on = ", ".join(f"{s.kind} ({', '.join(sorted(s.parties)) or 'datagrams'})" for s in stage.faults.on) or "no fault"
     out = Table(title=f"{stage.scene.name}, {stage.clients.seconds():.0f} of {stage.length_s:.0f} s: {on}")
     for name in ("balancer", "state", "connections", "life", "last said"):
--- a/glenrock/cli/stage_run.py
+++ b/glenrock/cli/stage_run.py
@@ -8,7 +8,7 @@
 import click
 
 from . import lab_options as options
-from .main import Failed
+from .main import CommandFailedError
 
 if TYPE_CHECKING:
     from ..stage.run import Stage
@@ -33,40 +33,46 @@
     """
     from ..stage import spec
 
-    scene = spec.load(file, options.overrides(over))
+    scene = spec.load(file, options.parse_overrides(over))
     play(scene, seed, out or Path("out") / "stage" / f"{scene.name}-{seed}", live)
 
 
 def play(scene: Any, seed: int, into: Path, live: bool | None) -> dict[str, Any]:
+    """Plays a scene into a folder, and returns its summary.
+
+    Raises:
+        CommandFailedError: a process did not come up, or a rule was broken.
+    """
     from ..lab import record, report
     from ..stage import run
-    from .stage_live import Live
+    from .stage_live import LiveTable
 
     summary: dict[str, Any] = {}
 
     def fill(beside: Path) -> None:
-        with Live(live) as shown:
+        with LiveTable(live) as shown:
             try:
                 stage, found = run.play(scene, seed, beside, shown.second)
-            except run.NotReady as bad:
-                raise Failed(str(bad)) from None
+            except run.NotReady as error:
+                raise CommandFailedError(str(error)) from error
         summary.update(found)
-        write(beside, stage, found)
+        write_results(beside, stage, found)
         (beside / "report.html").write_text(report.of_run(beside), encoding="utf-8")
 
     record.folder(into, fill)
-    tell(summary)
+    print_summary(summary)
     click.echo(f"results: {into}/summary.json, history.txt, series.csv, report.html, balancer-N/log")
     if broken := {k: v for k, v in summary["rules"].items() if v}:
         for b in summary["breaches"][:SHOWN_BREACHES]:
             click.echo(f"{b['rule']} at {b['at_s']} s: {b['text']}")
             for line in b["led"]:
                 click.echo(f"    {line}")
-        raise Failed(f"rules broken: {', '.join(f'{k} {v} times' for k, v in broken.items())}; see history.txt")
+        raise CommandFailedError(f"rules broken: {options.counts_text(broken)}; see history.txt")
     return summary
 
 
-def write(beside: Path, stage: Stage, summary: dict[str, Any]) -> None:
+def write_results(beside: Path, stage: Stage, summary: dict[str, Any]) -> None:
+    """Writes the tables and the history of a run."""
     from ..lab import record
 
     record.write_tables(beside, stage.measure, stage.scene, [s.name for s in stage.instances], summary)
@@ -74,7 +80,8 @@
     (beside / "history.txt").write_text("".join(f"{line}\n" for line in lines), encoding="utf-8")
 
 
-def tell(s: dict[str, Any]) -> None:
+def print_summary(s: dict[str, Any]) -> None:
+    """Prints a run's summary."""
     fleet, worth, c = s["fleet"], s["worth"], s["counts"]
     click.echo(
         f"{s['experiment']}, seed {s['seed']}: {fleet['balancers']} balancers, {fleet['instances']} instances, "
--- a/glenrock/lab/runner.py
+++ b/glenrock/lab/runner.py
@@ -8,7 +8,7 @@
 
 import json
 import signal
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from concurrent.futures import Future, ProcessPoolExecutor
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
@@ -66,7 +66,7 @@
 
 def run_all(
     todo: list[Task], jobs: int, kept: Path | None, resume: bool, done: Callable[[int], None]
-) -> Iterator[dict[str, Any]]:
+) -> Generator[dict[str, Any], None, None]:
     """Summaries as they are finished, those kept from before first. Ctrl-C ends it; what is finished is kept."""
     left: list[Task] = []
     for task in todo:
