--- a/tests/routing/test_layout.py
+++ b/tests/routing/test_layout.py
@@ -14,6 +14,7 @@
 IMPURE = {"asyncio", "datetime", "os", "pathlib", "select", "signal", "socket", "subprocess", "threading", "time"}
 ADAPTERS = {"simulator_adapter"}  # read standard input, and are not used by the program
 MAX_POLICY_LINES = 750
+DECIDED = {"StartAttempt", "CancelAttempt", "Reject", "Fail", "Migrate"}  # actions on requests and connections
 DEPLOY = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
 
 
@@ -62,3 +63,16 @@
 def test_what_decides_stays_within_its_lines() -> None:
     lines = [line for name in DEPLOY["policy"] for line in (ROOT / name).read_text().splitlines() if line.strip()]
     assert len(lines) <= MAX_POLICY_LINES
+
+
+def test_whoever_starts_ends_or_moves_requests_is_named_as_policy() -> None:
+    emitting = set()
+    for path in MODULES:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute) or node.func.attr != "emit":
+                continue
+            action = node.args[0]
+            if isinstance(action, ast.Call) and isinstance(action.func, ast.Name) and action.func.id in DECIDED:
+                emitting.add(str(path.relative_to(ROOT)))
+    assert emitting, "no action was found: the way in which modules emit has changed"
+    assert emitting <= set(DEPLOY["policy"]), f"not named as policy: {sorted(emitting - set(DEPLOY['policy']))}"
