--- /dev/null
+++ b/glenrock/testbed/bed.py
@@ -0,0 +1,224 @@
+"""A testbed: balancer processes, a directory with an agent for each, session servers and clients, on one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..stage.net import Net
+from .balancer_process import ROOT, BalancerProcess
+from .clients import Client, ClientPlan
+from .discovery_agent import DiscoveryAgent
+from .endpoint_directory import EndpointDirectory, ListedServer
+from .records import RunRecord
+from .session_servers import SessionServer
+
+READY_S = 30.0
+STEP_S = 0.02
+SERVICE = "lookup"
+_nets = itertools.count()
+
+
+@dataclass(frozen=True)
+class BedShape:
+    """What a testbed is made of.
+
+    Attributes:
+        balancers: processes.
+        servers: session servers, each with an address of its own.
+        descriptors: limit of each process.
+        deadline_ms: of the one class.
+        effect: of that class. `window_ms`: for repeats, where it is keyed.
+        drain_grace_ms: after which nothing goes to a draining server.
+        max_attempts: of a request.
+        health_checks: balancers may ask servers for their load.
+    """
+
+    balancers: int = 1
+    servers: int = 60
+    descriptors: int = 1024
+    deadline_ms: float = 1800.0
+    effect: str = "safe"
+    window_ms: float = 0.0
+    drain_grace_ms: float = 2500.0
+    max_attempts: int = 4
+    health_checks: bool = True
+
+
+def settings_of(shape: BedShape, number: int) -> dict[str, Any]:
+    """The settings object of a balancer."""
+    request_class = {
+        "name": SERVICE,
+        "targetUs": int(shape.deadline_ms * 500),
+        "deadlineUs": int(shape.deadline_ms * 1000),
+        "effect": shape.effect,
+        "windowUs": int(shape.window_ms * 1000),
+    }
+    return {
+        "az": "a",
+        "slotNo": number,
+        "balancers": shape.balancers,
+        "tickUs": 2000,
+        "caps": {
+            "maxAttempts": shape.max_attempts,
+            "cancel": True,
+            "probes": shape.health_checks,
+            "mayTell": shape.balancers > 1,
+            "retryAfter": True,
+            "maxRetryAfterUs": 1_000_000,
+            "dialTimeoutUs": 200_000,
+        },
+        "registryMode": "push",
+        "classes": [request_class],
+        "obligations": {
+            "drainGraceUs": int(shape.drain_grace_ms * 1000),
+            "coldShare": 0.4,
+            "coldUs": 5_000_000,
+            "fallMultiple": 3,
+            "overloadForUs": 3_000_000,
+        },
+        "report": {"how": "probe" if shape.health_checks else "none", "names": ["util", "queue", "x0"]},
+        "tariffs": {"probe": 0.0015},
+    }
+
+
+class Testbed:
+    """All parts of a run.
+
+    Attributes:
+        record: what the stand-ins saw.
+        servers: by name. `agents`, `processes`: by number.
+    """
+
+    __test__ = False  # pytest would take the name for a test's
+
+    def __init__(self, shape: BedShape, folder: Path | None = None, source: Path = ROOT) -> None:
+        self.shape = shape
+        self.record = RunRecord()
+        self.net = Net(next(_nets) * 251 + os.getpid())
+        self.directory = EndpointDirectory()
+        self.servers: dict[str, SessionServer] = {}
+        self.agents: list[DiscoveryAgent] = []
+        self.processes: list[BalancerProcess] = []
+        self._temporary = None if folder else tempfile.TemporaryDirectory(prefix="glenrock-testbed-")
+        self.folder = folder or Path(self._temporary.name)  # type: ignore[union-attr]
+        self._source = source
+        self._clients: set[asyncio.Task[Any]] = set()
+        self._ids = itertools.count(1)
+
+    async def __aenter__(self) -> Testbed:
+        for number in range(self.shape.servers):
+            self.add_server(f"s-{number:08x}")
+        for number in range(self.shape.balancers):
+            agent = DiscoveryAgent(number, self.net.next(), self.directory, self.record)
+            agent.open()
+            self.agents.append(agent)
+            self.processes.append(
+                BalancerProcess(number, self.folder / f"n{number}", self._config(number), self._source)
+            )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._clients:
+            task.cancel()
+        await asyncio.gather(*self._clients, return_exceptions=True)
+        for process in self.processes:
+            process.end()
+        for agent in self.agents:
+            agent.close()
+        for server in self.servers.values():
+            server.close()
+        if self._temporary:
+            self._temporary.cleanup()
+
+    def add_server(self, name: str, since_ms: float = 0.0) -> SessionServer:
+        """Starts a session server and lists it."""
+        server = SessionServer(name, self.net.next(), self.record)
+        server.start()
+        self.servers[name] = server
+        listed = ListedServer(name, server.address, zone="a", group=len(self.servers) % 4, since_ms=since_ms)
+        self.directory.add(listed)
+        return server
+
+    def _config(self, number: int) -> dict[str, Any]:
+        peers = [_text(self.net.peer(n)) for n in range(self.shape.balancers)]
+        config: dict[str, Any] = {
+            "name": f"n{number}",
+            "listen": _text(self.net.balancer(number)),
+            "discovery": _text(self.agents[number].address),
+            "admin": _text(self.net.admin(number)),
+            "seed": f"{number + 1:x}",
+            "limits": {"sockets": self.shape.descriptors},
+            "settings": settings_of(self.shape, number),
+        }
+        if self.shape.balancers > 1:
+            config |= {"peer_listen": peers[number], "peers": peers}
+        return config
+
+    async def start_balancers(self) -> None:
+        """Starts all processes, and waits until each answers PING.
+
+        Raises:
+            TimeoutError: one does not.
+        """
+        for process in self.processes:
+            process.start()
+        await asyncio.gather(*(self.until_ready(process) for process in self.processes))
+
+    async def until_ready(self, process: BalancerProcess) -> None:
+        """Waits until a process answers PING. TimeoutError: it does not."""
+        until_s = time.monotonic() + READY_S
+        while time.monotonic() < until_s:
+            if await self._answers_ping(process):
+                return
+            await asyncio.sleep(STEP_S)
+        raise TimeoutError(f"balancer {process.number} is not ready: {process.log_lines()[-5:]}")
+
+    async def _answers_ping(self, process: BalancerProcess) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(*process.address)
+        except OSError:
+            return False
+        try:
+            writer.write(b"PING\r\n")
+            return await asyncio.wait_for(reader.readline(), 1.0) == b"PONG\r\n"
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            writer.close()
+
+    def client(self, balancer: int, **plan: Any) -> Client:
+        """A client of that balancer, playing from now on."""
+        number = next(self._ids)
+        values: dict[str, Any] = {
+            "request_id": f"{number:012x}",
+            "key": number,
+            "service": SERVICE,
+            "deadline_ms": self.shape.deadline_ms,
+            "effect": self.shape.effect,
+        }
+        client = Client(ClientPlan(balancer, **(values | plan)), self.processes[balancer].address, self.record)
+        task = asyncio.get_running_loop().create_task(client.run())
+        self._clients.add(task)
+        task.add_done_callback(self._clients.discard)
+        return client
+
+    async def until(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Waits for a condition. False where it does not come."""
+        until_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > until_s:
+                return False
+            await asyncio.sleep(STEP_S)
+        return True
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -21,14 +21,15 @@
         "net",
         "program",
         "stage",
+        "testbed",
         "toml_file",
         "upgrade",
     ),
-    "net": ("__main__", "program", "admin", "cli", "coordination", "lab", "stage", "upgrade"),
-    "upgrade": ("__main__", "program", "admin", "cli", "coordination", "lab", "stage"),
-    "admin": ("__main__", "program", "cli", "coordination", "lab", "stage"),
-    "coordination": ("__main__", "program", "cli", "lab", "stage"),
-    "lab": ("__main__", "program", "admin", "cli", "net", "stage", "upgrade"),
+    "net": ("__main__", "program", "admin", "cli", "coordination", "lab", "stage", "upgrade", "testbed"),
+    "upgrade": ("__main__", "program", "admin", "cli", "coordination", "lab", "stage", "testbed"),
+    "admin": ("__main__", "program", "cli", "coordination", "lab", "stage", "testbed"),
+    "coordination": ("__main__", "program", "cli", "lab", "stage", "testbed"),
+    "lab": ("__main__", "program", "admin", "cli", "net", "stage", "upgrade", "testbed"),
 }
 # Circles that are still there; the list only shrinks.
 KNOWN_CIRCLES = {
--- /dev/null
+++ b/tests/test_many_servers.py
@@ -0,0 +1,30 @@
+"""Thousands of names in the endpoint list, on real processes: what a balancer sets aside must not grow with them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import uvloop
+
+from glenrock.testbed.bed import BedShape, Testbed
+
+THOUSANDS = 3200
+STANDING, NEWCOMERS = 30, 10
+ANSWER_S = 5.0
+
+
+async def answers_of(descriptors: int) -> list[str]:
+    """What clients hear whose connections stood before, and others, all at once."""
+    async with Testbed(BedShape(servers=THOUSANDS, descriptors=descriptors)) as bed:
+        await bed.start_balancers()
+        names = list(bed.servers)
+        clients = [bed.client(0, standing_at=names[n * 97 % len(names)]) for n in range(STANDING)]
+        clients += [bed.client(0) for _ in range(NEWCOMERS)]
+        await bed.until(lambda: all(client.up.is_set() for client in clients), ANSWER_S)
+        return [client.request.answer.partition(" ")[0] or client.request.end.value for client in clients]
+
+
+@pytest.mark.parametrize("descriptors", (256, 512, 1024))
+def test_all_are_served_beside_thousands_of_servers(descriptors: int) -> None:
+    assert uvloop.run(asyncio.wait_for(answers_of(descriptors), 60)) == ["UP"] * (STANDING + NEWCOMERS)
