Set descriptors aside by a budget that does not grow with the endpoint list

Cause: ConnectionTable._free_descriptors counted one descriptor for each name of the list ("besides one health check connection a server"), so beside more names than the limit there was never room: every first line was told BUSY, standing ones too, and room() at its floor of 16 had _shed close connections whose request lay unread. Seen in the reproduction's log: "no room for another command", "shed: 17 connections". Change: net/descriptor_budget.py holds every limit with its arithmetic; a bounded pool of connections for health checks, the idle one used longest ago makes room; actors of servers made at first use and retired when idle; whoever is shed is read once more and has an answer before the close. EMFILE and its like on connect are tried again within the attempt and held against no server; net/system_errors.py has the table. A limit with no room for one client is told at the start, and on SIGHUP the old one stays. Metrics: descriptors by purpose, answers by reason, failed calls by errno; log lines name the id.

--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -49,6 +49,10 @@
             open_requests=self._connections.count_open(),
             registry_entries=len(names),
             out_of_rotation=self._routing.balancer.count_avoided(names),
+            rejected=counts.rejected,
+            system_errors=counts.system_errors,
+            descriptors=self._connections.descriptors_by_purpose(),
+            descriptor_limit=self._connections.budget.limit,
         )
 
     def listed(self, name: str) -> bool:
--- a/glenrock/coordination/sharded_health_checks.py
+++ b/glenrock/coordination/sharded_health_checks.py
@@ -78,4 +78,4 @@
         host = self._context.host
         warm_ms = host.clock.now() - host.config.settings.slow_start_us / 1000
         instances = host.servers
-        return [name for name in instances.listed() if instances.all[name].entry.since_ms <= warm_ms]
+        return [row.name for row in instances.listed_rows() if row.since_ms <= warm_ms]
--- a/glenrock/coordination/warm_start/start_cache.py
+++ b/glenrock/coordination/warm_start/start_cache.py
@@ -78,7 +78,7 @@
         table = self._host.endpoints
         if table.newest < 0 or not table.first.is_set():
             return None
-        entries = [server.entry for server in self._host.servers.all.values() if server.entry.status != DELETED]
+        entries = list(self._host.servers.listed_rows())
         rows = [
             {
                 "name": entry.name,
--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -14,8 +14,9 @@
 from ..log import say
 from . import protocol
 from .clock import Clock, Limit
-from .metrics import ConnectionOutcome
-from .socket_io import configure_socket, recv_into
+from .metrics import ConnectionMetrics, ConnectionOutcome, RejectReason
+from .socket_io import close_drained, configure_socket, recv_into
+from .system_errors import is_gone_before_accept, is_shortage
 
 FIRST_LINE_MS = 2000.0  # the whole first line is due by then: whoever can't be read is owed a word within 3 s
 IDLE_MS = 10_000.0  # one that was answered PONG may stay this long
@@ -25,7 +26,6 @@
 MAX_ACCEPTS = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
 BACKLOG = 4096  # connections that the system accepts before this program does
 LAST_MS = 100.0  # once no more are taken, whoever has said nothing yet has this long
-MIN_ROOM = 16  # connections without a request that there is always room for
 TRACEBACK_LINES = -3
 LOGGED_BYTES = 120  # of a first line
 
@@ -45,6 +45,7 @@
 
     known: protocol.KnownNames
     retry_after_ms: float
+    metrics: ConnectionMetrics
 
     def knows(self, request_id: str) -> bool:
         """Whether a connection of that id is open."""
@@ -90,6 +91,8 @@
         self._answered: dict[asyncio.Task[None], None] = {}  # have had an answer and are owed no other
         self._waits: dict[asyncio.Task[None], Limit] = {}  # for a line of theirs
         self._is_last = False  # no more are taken, and nobody is waited for
+        self._hurried: set[asyncio.Task[None]] = set()  # are told to come again, unless a request is there already
+        self._lingering: dict[asyncio.Task[None], None] = {}  # of those answered, who have had their last word
 
     def proven(self) -> bool:
         """Whether clients may be sent away.
@@ -149,14 +152,18 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
+                self._connections.metrics.add_system_error(error)
+                if is_gone_before_accept(error):
+                    continue
                 self._pause_accepting(self.listener, error)
                 return
             self._take(sock)
 
     def _pause_accepting(self, listener: socket.socket, error: OSError) -> None:
-        """Out of descriptors, or a client that left at once: the listener must outlive both."""
+        """Out of descriptors or memory: the listener must outlive that, and spin meanwhile it must not."""
         say("accept", str(error))
-        self._shed()
+        if is_shortage(error):
+            self._shed()
         asyncio.get_running_loop().remove_reader(listener)
         self._clock.call_at(self._clock.now() + RESUME_MS, self._resume)
 
@@ -174,22 +181,40 @@
         # Silent connections by the hundred would take all descriptors, and with them the requests, the health checks
         # and discovery. Past their room the oldest go at once; sound ones have spoken by then.
         while len(self.unheard) + len(self._answered) > self._connections.room():
-            self._shed()
+            if not self._shed():
+                break
 
     def _ended(self, task: asyncio.Task[None], sock: socket.socket) -> None:
         self.tasks.discard(task)
         self.unheard.pop(task, None)
         self._answered.pop(task, None)
-        sock.close()
+        self._lingering.pop(task, None)
+        self._hurried.discard(task)
+        close_drained(sock)
+
+    def _shed(self) -> bool:
+        """Makes room: the oldest that has had its last word is closed, else the oldest without a request is told.
 
-    def _shed(self) -> None:
-        """Closes the oldest connection without a request, first among those that have had an answer."""
+        A request of that one may lie in the socket's buffer, or be on its way: what is there is read and gets its
+        answer, and whoever has said nothing is told to come again before the close. False where nobody is left.
+        """
+        if self._lingering:
+            self._end_lingering(next(iter(self._lingering)))
+            return True
         for pool in (self._answered, self.unheard):
             for task in pool:
-                say("shed", f"{len(self.unheard)} connections without a first line: the oldest is closed")
+                say("shed", f"{len(self.unheard)} connections without a first line: the oldest is told to come again")
                 del pool[task]
-                task.cancel()
-                return
+                self._hurried.add(task)
+                if limit := self._waits.get(task):
+                    limit.stop()
+                return True
+        return False
+
+    def _end_lingering(self, task: asyncio.Task[None]) -> None:
+        del self._lingering[task]
+        self._answered.pop(task, None)
+        task.cancel()
 
     def _record_answer(self) -> None:
         task = _current_task()
@@ -203,7 +228,8 @@
             if opened is None:
                 return
             task = _current_task()
-            del (self.unheard if task in self.unheard else self._answered)[task]
+            self.unheard.pop(task, None)
+            self._answered.pop(task, None)
             await self._connections.serve(sock, opened)
         except OSError:
             pass
@@ -220,9 +246,7 @@
                 return None
             data = read
             if not _is_complete(data):
-                rests = pinged and not data
-                line = protocol.busy_line(self._connections.retry_after_ms) if rests else protocol.FAILED
-                await self._reject(sock, line)
+                await self._give_up(sock, rests=pinged and not data)
                 return None
             line, end, rest = data.partition(b"\n")
             if line + end != protocol.PING:
@@ -232,11 +256,23 @@
             self._record_answer()
             data, pinged = rest, True
 
+    async def _give_up(self, sock: socket.socket, rests: bool) -> None:
+        """No whole line is there, and none is waited for any more."""
+        is_hurried = _current_task() in self._hurried
+        line = protocol.FAILED
+        if is_hurried:
+            line = self._spread_busy_line()
+        elif rests:
+            line = protocol.busy_line(self._connections.retry_after_ms)
+        await self._reject(sock, line, "shed" if is_hurried else "draining" if self._is_last else "silent")
+
     async def _read_line(self, sock: socket.socket, data: bytes, pinged: bool) -> bytes | None:
         """What there is once a line is complete or time is up; None where the client has left."""
         loop = asyncio.get_running_loop()
         buffer = bytearray(protocol.MAX_LINE)
         task = _current_task()
+        if task in self._hurried:
+            return data + _received(sock)
         async with self._clock.limit(self._line_limit_ms(pinged)) as limit:
             self._waits[task] = limit
             try:
@@ -249,8 +285,7 @@
                 del self._waits[task]
         if limit.over:
             # A request may have come in the instant in which its connection is given up.
-            with contextlib.suppress(BlockingIOError):
-                data += sock.recv(protocol.MAX_LINE)
+            data += _received(sock)
         return data
 
     def _line_limit_ms(self, pinged: bool) -> float:
@@ -267,24 +302,27 @@
         except protocol.OpenLineError as error:
             self._count_unsound(data)
             say("first line", f"not understood, {error}: {data[:LOGGED_BYTES]!r}")
-            await self._reject(sock, protocol.FAILED)
+            await self._reject(sock, protocol.FAILED, "unsound")
             return None
         if not (self.proven() and self.refuses) and not self._connections.full():
             return opened
         if not self.refuses:
-            say("descriptors", "no room for another command: nacked")
+            say("descriptors", f"no room for another command: {opened.id} is told to come again")
         self._connections.record_answered("throttled", opened.class_name)
-        retry_after_ms = self._connections.retry_after_ms * (0.5 + random.random() / 2)  # noqa: S311 - jitter
-        await self._reject(sock, protocol.busy_line(retry_after_ms))
+        await self._reject(sock, self._spread_busy_line(), "draining" if self.refuses else "descriptors")
         return None
 
+    def _spread_busy_line(self) -> bytes:
+        """Whoever is rejected together is not to come again together."""
+        return protocol.busy_line(self._connections.retry_after_ms * (0.5 + random.random() / 2))  # noqa: S311 - jitter
+
     def _count_unsound(self, data: bytes) -> None:
         """What is wrong may have come behind a sound line: it has a class, and counts there."""
         with contextlib.suppress(protocol.OpenLineError):
             first = protocol.parse_open(data.partition(b"\n")[0] + b"\n", self._connections.known)
             self._connections.record_answered("faulted", first.class_name)
 
-    async def _reject(self, sock: socket.socket, line: bytes) -> None:
+    async def _reject(self, sock: socket.socket, line: bytes, reason: RejectReason) -> None:
         """The answer, then the client's end is awaited.
 
         A close with its bytes unread resets the connection, and some lose the answer with it. Whoever sends on and on
@@ -294,6 +332,8 @@
         buffer = bytearray(protocol.MAX_LINE)
         left = LINGER_BYTES
         self._record_answer()
+        self._connections.metrics.rejected[reason] += 1
+        self._lingering[_current_task()] = None
         async with self._clock.limit(LINGER_MS):
             await loop.sock_sendall(sock, line)
             sock.shutdown(socket.SHUT_WR)
@@ -301,6 +341,14 @@
                 left -= count
 
 
+def _received(sock: socket.socket) -> bytes:
+    """What has come and was not read yet."""
+    try:
+        return sock.recv(protocol.MAX_LINE)
+    except (BlockingIOError, InterruptedError):
+        return b""
+
+
 def _current_task() -> asyncio.Task[None]:
     task = asyncio.current_task()
     assert task is not None, "called within a task"
--- a/glenrock/net/client_connection.py
+++ b/glenrock/net/client_connection.py
@@ -27,7 +27,7 @@
     MigrateClient,
     RelayEnd,
 )
-from .metrics import ConnectionMetrics, ConnectionOutcome
+from .metrics import ConnectionMetrics, ConnectionOutcome, RejectReason
 from .relay_pumps import BUFFER_BYTES, RelayPumps
 from .routing_actor import RoutingActor
 from .server_connections import ServerRegistry
@@ -103,13 +103,13 @@
         if self.attempt and attempt == self.attempt_number and not self.up.is_set():
             self.attempt.withdraw()
 
-    def reject(self, retry_after_ms: float) -> None:
+    def reject(self, retry_after_ms: float, reason: RejectReason = "admission") -> None:
         """Final answer: the client may come again after that time."""
-        self.mailbox.deliver(FinalAnswer(protocol.busy_line(retry_after_ms)))
+        self.mailbox.deliver(FinalAnswer(protocol.busy_line(retry_after_ms), reason))
 
     def fail(self) -> None:
         """Final answer: it could not be served."""
-        self.mailbox.deliver(FinalAnswer(protocol.FAILED))
+        self.mailbox.deliver(FinalAnswer(protocol.FAILED, "failed"))
 
     def migrate(self) -> None:
         """Asks the client to connect elsewhere."""
@@ -121,7 +121,14 @@
         if self._quit:  # a standing one is tried again by a timer, whatever has become of its client
             return
         self.server = server
-        attempt = ConnectionAttempt(self.opened.line, timeout_ms, self.attempt_done, insist, wanted=self.client_waits)
+        attempt = ConnectionAttempt(
+            self.opened.line,
+            timeout_ms,
+            self.attempt_done,
+            insist,
+            wanted=self.client_waits,
+            request_id=self.opened.id,
+        )
         self.attempt = attempt
         actor = self._owner.servers.get(server)
         if actor is None or not actor.mailbox.put(attempt):
@@ -175,8 +182,9 @@
                 # Guards against decisions that failed: their own timer answers some milliseconds before `d`.
                 guard = self.clock.call_at(self._deadline_ms + GUARD_MS, self.mailbox.deliver, RelayEnd.OVERDUE)
                 if not self._routing.post(self._request()):
+                    say("events", f"{self.opened.id} is told to come again: too many events wait")
                     self._forgotten = True
-                    self.reject(self._owner.retry_after_ms)
+                    self.reject(self._owner.retry_after_ms, "events")
             if await self._settle(standing_at):
                 if guard:
                     guard.cancel()
@@ -199,9 +207,9 @@
         while True:
             message = await self.mailbox.next()
             match message:
-                case FinalAnswer(line):
+                case FinalAnswer(line, reason):
                     self._forgotten = True
-                    await self._answer(line)
+                    await self._answer(line, reason)
                     return False
                 case AnswerNow(retry_after_ms):
                     await self._answer_now(retry_after_ms, standing_at)
@@ -209,7 +217,7 @@
                 case RelayEnd.OVERDUE:
                     say("overdue", f"{self.opened.id} had no decision in time")
                     self.forget()
-                    await self._answer(protocol.FAILED)
+                    await self._answer(protocol.FAILED, "overdue")
                     return False
                 case RelayEnd():
                     await self._client_left(message, standing_at)
@@ -227,7 +235,7 @@
         """To be rejected says that coming again is harmless. Of an attempt that may have run it is not."""
         harmless = standing_at is None and self._routing.may_reject(self.opened.id)
         self.forget()
-        await self._answer(protocol.busy_line(retry_after_ms) if harmless else protocol.FAILED)
+        await self._answer(protocol.busy_line(retry_after_ms) if harmless else protocol.FAILED, "draining")
 
     async def _client_left(self, end: RelayEnd, standing_at: str | None) -> None:
         self._quit = True
@@ -235,14 +243,15 @@
             self.forget()
         if end is RelayEnd.TOO_EARLY:
             say("first line", f"{self.opened.id} sent bytes before its answer: failed")
-            await self._answer(protocol.FAILED)
+            await self._answer(protocol.FAILED, "unsound")
         self.count("left")
 
     async def _retry_standing(self, standing_at: str) -> bool:
         """False where it has been tried long enough."""
-        wait_ms = STANDING_MS if self._owner.servers.get(standing_at) else UNKNOWN_SERVER_MS
+        wait_ms = STANDING_MS if self._owner.servers.knows(standing_at) else UNKNOWN_SERVER_MS
         if self.clock.now() > self._arrived_ms + wait_ms:
-            await self._answer(protocol.FAILED)
+            say("standing", f"{self.opened.id} did not come up at {standing_at}: failed")
+            await self._answer(protocol.FAILED, "failed")
             return False
         at_ms = self.clock.now() + RETRY_STANDING_MS
         self.clock.call_at(at_ms, self._launch, standing_at, STANDING_MS, True)
@@ -277,9 +286,10 @@
             self._counted = True
             self._owner.metrics.add(outcome, self.opened.class_name)
 
-    async def _answer(self, line: bytes) -> None:
+    async def _answer(self, line: bytes, reason: RejectReason) -> None:
         """Its answer, where it is not up. The attempt that is out ends first: its client comes again at once."""
         self._quit = True
+        self._owner.metrics.rejected[reason] += 1
         await self._abandon()
         await self._finish(line)
 
--- a/glenrock/net/connection_attempt.py
+++ b/glenrock/net/connection_attempt.py
@@ -22,6 +22,7 @@
         line: the client's first line.
         done: called once, with the result.
         insist: for a connection that stood there before this balancer did, whatever the endpoint list says.
+        request_id: for the log.
         first: what came with UP, that line included.
         wanted: asked right before the line is written.
     """
@@ -38,6 +39,7 @@
     withdrawn: bool = False
     wanted: Callable[[], bool] = _always
     task: asyncio.Task[None] | None = field(default=None, repr=False)
+    request_id: str = ""
 
     def withdraw(self) -> None:
         """Ends the attempt, one that still lies with its server's actor too."""
--- a/glenrock/net/connection_messages.py
+++ b/glenrock/net/connection_messages.py
@@ -10,6 +10,7 @@
 
 from .attempt_outcomes import AttemptResult
 from .connection_attempt import ConnectionAttempt
+from .metrics import RejectReason
 
 
 class RelayEnd(Enum):
@@ -38,9 +39,10 @@
 
 @dataclass(frozen=True)
 class FinalAnswer:
-    """The routing decisions have answered: this line is the client's last."""
+    """The routing decisions have answered: this line is the client's last. `reason`: for the metrics."""
 
     line: bytes
+    reason: RejectReason
 
 
 @dataclass(frozen=True)
--- a/glenrock/net/connection_table.py
+++ b/glenrock/net/connection_table.py
@@ -11,11 +11,11 @@
 from glenrock.routing import interface
 
 from ..log import say
-from . import protocol
-from .acceptor import MIN_ROOM
+from . import descriptor_budget, protocol
 from .client_connection import ClientConnection
 from .clock import Clock
 from .connection_messages import MigrateClient
+from .descriptor_budget import DescriptorBudget
 from .metrics import ConnectionMetrics, ConnectionOutcome
 from .routing_actor import RoutingActor
 from .server_connections import ServerRegistry
@@ -24,8 +24,6 @@
 SWEEP_MS = 250.0
 DELAY_NOTICE_MS = 1000.0  # word of slow messages at a server, at most this often
 SLOW_SHARE = 3  # a message is slow past this part of the shortest objective
-RESERVED_DESCRIPTORS = 24  # kept for everything but clients, besides one health check connection a server
-DESCRIPTORS_A_RELAY = 2
 RETRY_AFTER_MS = 1000.0  # whoever is rejected beside the decisions comes again after this, where clients may wait so
 LONGEST_WAIT = 10.0  # a client that wants to wait this many times its class's deadline sent no sound number
 TRACEBACK_LINES = -3
@@ -36,8 +34,8 @@
 
     Attributes:
         by_id: connections by request, shared with the routing actor.
-        sockets: the limit on descriptors. `reserved`: those kept for everything but clients.
-        elsewhere: descriptors held by another process under the same limit. `others`: as of the last sweep.
+        budget: of descriptors.
+        elsewhere: counts the descriptors of another process under the same limit.
         known: what an OPEN may name.
         retry_after_ms: whoever is rejected beside the decisions comes again after this; 0: nobody may be told when.
     """
@@ -47,7 +45,7 @@
         routing: RoutingActor,
         servers: ServerRegistry,
         clock: Clock,
-        sockets: int,
+        budget: DescriptorBudget,
         measures_delay: bool,
         metrics: ConnectionMetrics,
     ) -> None:
@@ -55,11 +53,9 @@
         self.servers = servers
         self.clock = clock
         self.metrics = metrics
-        self.sockets = sockets
-        self.reserved = RESERVED_DESCRIPTORS
+        self.budget = budget
         self.by_id: dict[str, ClientConnection] = {}
         self.elsewhere: Callable[[], int] = _none_elsewhere
-        self.others = 0
         routing.connection_of = self.by_id.get
         settings = routing.balancer.settings
         self.known = protocol.KnownNames(
@@ -78,26 +74,31 @@
         """Whether a connection of that id is open."""
         return request_id in self.by_id
 
-    def _free_descriptors(self) -> int:
-        """Those that neither connections nor the program's other parts need."""
-        used = self.reserved + self.others + len(self.servers.all) + DESCRIPTORS_A_RELAY * len(self.by_id)
-        return self.sockets - used
-
     def count_open(self) -> int:
         """Connections taken that have not had their last word."""
         return sum(not connection.ended for connection in self.by_id.values())
 
+    def descriptors_by_purpose(self) -> dict[str, int]:
+        """Descriptors in use for clients and health checks, and those set aside for the rest."""
+        return {
+            "program": descriptor_budget.PROGRAM,
+            "operators": self.budget.operators,
+            "other_process": self.budget.elsewhere,
+            "health_checks": self.servers.count_health_connections(),
+            "relays": descriptor_budget.PER_RELAY * len(self.by_id),
+        }
+
     def record_answered(self, outcome: ConnectionOutcome, class_name: str) -> None:
         """A connection with a sound first line has had its answer from the acceptor."""
         self.metrics.add(outcome, class_name)
 
     def full(self) -> bool:
         """Whether there is no room for another."""
-        return self._free_descriptors() < DESCRIPTORS_A_RELAY + MIN_ROOM
+        return not self.budget.has_room(len(self.by_id))
 
     def room(self) -> int:
         """Connections that may be open without a request."""
-        return max(MIN_ROOM, min(self._free_descriptors(), self.sockets // 4))
+        return self.budget.unrouted(len(self.by_id))
 
     async def serve(self, sock: socket.socket, opened: protocol.OpenLine) -> None:
         """Routes a connection, until its end."""
@@ -141,7 +142,7 @@
         """Looks for silent servers for as long as the program runs."""
         while True:
             await self.clock.sleep(SWEEP_MS)
-            self.others = self.elsewhere()
+            self.budget.elsewhere = self.elsewhere()
             oldest_ms = self.clock.now() - SILENT_MS
             for connection in self.by_id.values():
                 asked_at = connection.asked_at
--- a/glenrock/net/health_probe.py
+++ b/glenrock/net/health_probe.py
@@ -13,7 +13,9 @@
 from . import protocol
 from .clock import Clock, micros
 from .endpoint_rows import EndpointRow
+from .health_connections import HealthConnections
 from .socket_io import close_socket, configure_socket
+from .system_errors import is_local
 
 TIMEOUT_MS = 250.0  # a server that leaves a health check unanswered this long has not answered
 IDLE_MS = 8000.0  # a connection unused this long is closed
@@ -28,29 +30,36 @@
 
 NO_CONNECTION = HealthAnswer("no_connection", {})
 NO_ANSWER = HealthAnswer("timeout", {})
+NOT_ASKED = HealthAnswer("unsent", {})  # this machine had no way to ask: no word on the server
 
 
 class HealthProbe:
     """The owner of the connection."""
 
-    def __init__(self, clock: Clock, post: Callable[[interface.Event], bool]) -> None:
+    def __init__(self, clock: Clock, post: Callable[[interface.Event], bool], pool: HealthConnections) -> None:
         self._clock = clock
         self._post = post
+        self._pool = pool
         self._sock: socket.socket | None = None
+        self._is_connected = False
         self._used_ms = 0.0
 
     async def check(self, row: EndpointRow) -> None:
-        """Asks the server, and posts what came of it."""
+        """Asks the server, and posts what came of it: nothing, where this process has no connection to ask on."""
         sent_ms = self._clock.now()
         answer = NO_ANSWER
+        if not self._pool.claim(self):
+            self._post(interface.HealthCheckResult(row.name, "unsent"))
+            return
         try:
             async with self._clock.limit(TIMEOUT_MS):
                 answer = await self._ask(row)
-        except OSError:
-            answer = NO_CONNECTION
+        except OSError as error:
+            answer = NOT_ASKED if is_local(error) and not self._is_connected else NO_CONNECTION
         finally:
             if answer.outcome != "served":
                 self.hang_up()
+            self._pool.rest(self)
         self._used_ms = self._clock.now()
         latency_us = micros(self._used_ms - sent_ms)
         self._post(interface.HealthCheckResult(row.name, answer.outcome, latency_us, answer.report))
@@ -64,9 +73,11 @@
                 if answer.outcome != "no_connection":
                     return answer
             self.hang_up()
+        self._is_connected = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         configure_socket(self._sock)
         await asyncio.get_running_loop().sock_connect(self._sock, row.address)
+        self._is_connected = True
         return await self._question(self._sock)
 
     async def _question(self, sock: socket.socket) -> HealthAnswer:
@@ -88,10 +99,16 @@
 
     def hang_up(self) -> None:
         """Closes the connection."""
+        self._pool.leave(self)
         if self._sock:
             close_socket(self._sock)
             self._sock = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a connection is kept."""
+        return self._sock is not None
+
     def close_if_idle(self) -> None:
         """Closes a connection that has been idle; for when no check is out."""
         if self._sock and self._clock.now() - self._used_ms > IDLE_MS:
--- a/glenrock/net/server_connections.py
+++ b/glenrock/net/server_connections.py
@@ -1,196 +1,50 @@
-"""Servers: one actor each, with its attempts and its health checks."""
+"""All servers by name, and an actor for each that has something to do."""
 
 from __future__ import annotations
 
-import asyncio
-import socket
-from collections.abc import Callable, Coroutine
-from enum import Enum
+from collections.abc import Iterator
 
 from glenrock.routing import interface
 
 from ..log import say
-from . import protocol
-from .attempt_outcomes import AttemptEnd, AttemptResult, Reach
 from .clock import Clock, micros
-from .connection_attempt import ConnectionAttempt
+from .descriptor_budget import DescriptorBudget
 from .endpoint_rows import STATES, EndpointRow
-from .health_probe import HealthProbe
-from .mailbox import Mailbox
+from .health_connections import HealthConnections
 from .metrics import ConnectionMetrics
-from .socket_io import close_socket, configure_socket
+from .server_actor import Post, ServerActor, ServerJob
 
-MAX_MAIL = 1024  # health checks and attempts that may wait for one actor
-MAX_SERVERS = 4096  # kept: an endpoint list past that is not this deployment's
-ENDS_BY_WORD = {"BUSY": AttemptEnd.BUSY, "BYE": AttemptEnd.BYE, "MOVE": AttemptEnd.MOVED}
-
-Post = Callable[[interface.Event], bool]
-
-
-class ServerJob(Enum):
-    """What a server's actor may be asked beside attempts."""
-
-    HEALTH_CHECK = "health check"
-
-
-class ServerActor:
-    """One server.
-
-    Attributes:
-        entry: its row of the endpoint list.
-        held: out of rotation by an operator, whatever the list says.
-        dial_ms: a connection is awaited this long.
-        prober: the health check that is out, or was last.
-    """
-
-    def __init__(
-        self, entry: EndpointRow, clock: Clock, dial_ms: float, post: Post, metrics: ConnectionMetrics
-    ) -> None:
-        self.entry = entry
-        self.dial_ms = dial_ms
-        self.held = False
-        self.post = post
-        self.mailbox: Mailbox[ConnectionAttempt | ServerJob] = Mailbox(MAX_MAIL)
-        self.prober: asyncio.Task[None] | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
-        self._clock = clock
-        self._metrics = metrics
-        self._probe = HealthProbe(clock, lambda event: self.post(event))
-        self._actor = asyncio.get_running_loop().create_task(self._run())
-
-    @property
-    def serving(self) -> bool:
-        """Whether something new may start there."""
-        return self.entry.status == "SERVING" and not self.held
-
-    @property
-    def _is_probing(self) -> bool:
-        return self.prober is not None and not self.prober.done()
-
-    def stop(self) -> None:
-        """Ends the actor."""
-        self._actor.cancel()
-        if self.prober:
-            self.prober.cancel()
-
-    def update(self, row: EndpointRow) -> None:
-        """Its row has changed."""
-        restarted = row.since_ms != self.entry.since_ms or row.address != self.entry.address
-        if restarted and not self._is_probing:
-            self._probe.hang_up()  # the process at its other end is gone
-        self.entry = row
-
-    def tidy(self) -> None:
-        """Closes a health check's connection that has been idle."""
-        if not self._is_probing:
-            self._probe.close_if_idle()
-
-    async def _run(self) -> None:
-        while True:
-            for job in await self.mailbox.take():
-                if isinstance(job, ConnectionAttempt):
-                    job.task = self._start(self._execute(job))
-                elif not self._is_probing:
-                    self.prober = self._start(self._probe.check(self.entry))
-
-    def _start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
-    # -- attempts --------------------------------------------------------------------------------------
-
-    async def _execute(self, attempt: ConnectionAttempt) -> None:
-        attempt.sent_at = self._clock.now()
-        try:
-            result = await self.attempt(attempt)
-        except asyncio.CancelledError:
-            result = AttemptResult(AttemptEnd.WITHDRAWN, attempt.reach)
-        except OSError:
-            result = AttemptResult(AttemptEnd.BROKEN, attempt.reach)
-        except Exception as error:  # noqa: BLE001 - the client must hear of an end, whatever went wrong
-            say("execution", f"{self.entry.name}: {error!r}")
-            result = AttemptResult(AttemptEnd.BROKEN, attempt.reach)
-        if result.end is not AttemptEnd.UP and attempt.sock:
-            # Guards against a second copy: the socket is closed before routing hears of the end.
-            close_socket(attempt.sock)
-            attempt.sock = None
-        attempt.latency_ms = self._clock.now() - attempt.sent_at
-        attempt.done(attempt, result)
-
-    def _left_ms(self, attempt: ConnectionAttempt) -> float:
-        return attempt.sent_at + attempt.timeout_ms - self._clock.now()
-
-    async def attempt(self, attempt: ConnectionAttempt) -> AttemptResult:
-        """Connects, writes the line and awaits the answer. Raises OSError."""
-        if attempt.withdrawn:
-            return AttemptResult(AttemptEnd.WITHDRAWN, attempt.reach)
-        if not (self.serving or attempt.insist):
-            return AttemptResult(AttemptEnd.NOT_SENT, attempt.reach)
-        sock = attempt.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        configure_socket(sock)
-        async with self._clock.limit(min(self.dial_ms, self._left_ms(attempt))) as limit:
-            await asyncio.get_running_loop().sock_connect(sock, self.entry.address)
-        if limit.over:
-            return AttemptResult(AttemptEnd.SILENT, attempt.reach)
-        # The list may have changed while the connection came up.
-        if not (self.serving or attempt.insist):
-            return AttemptResult(AttemptEnd.NOT_SENT, attempt.reach)
-        if not attempt.wanted():
-            return AttemptResult(AttemptEnd.WITHDRAWN, attempt.reach)
-        return await self._ask(attempt, sock)
-
-    async def _ask(self, attempt: ConnectionAttempt, sock: socket.socket) -> AttemptResult:
-        loop = asyncio.get_running_loop()
-        async with self._clock.limit(self._left_ms(attempt)):
-            attempt.reach = Reach.PARTLY_WRITTEN
-            await loop.sock_sendall(sock, protocol.with_wait(attempt.line, self._left_ms(attempt)))
-            attempt.reach = Reach.WRITTEN
-            self._metrics.relayed += 1
-            return await self._answer(attempt, sock)
-        attempt.reach = Reach.WRITTEN  # a write that was stopped does not tell how much is out
-        return AttemptResult(AttemptEnd.SILENT, attempt.reach)
-
-    async def _answer(self, attempt: ConnectionAttempt, sock: socket.socket) -> AttemptResult:
-        loop = asyncio.get_running_loop()
-        buffer = bytearray(protocol.MAX_LINE)
-        splitter = protocol.LineSplitter()
-        lines: list[bytes] = []
-        while not lines:
-            count = await loop.sock_recv_into(sock, buffer)
-            if not count:
-                return AttemptResult(AttemptEnd.BROKEN, attempt.reach)
-            attempt.first += buffer[:count]
-            lines = splitter.feed(bytes(buffer[:count]))
-            if splitter.overlong:
-                return AttemptResult(AttemptEnd.ERROR, attempt.reach)
-        word, rest = protocol.split_word(lines[0])
-        if word == "UP":
-            attempt.reach = Reach.UP
-            return AttemptResult(AttemptEnd.UP, attempt.reach)
-        if word == "SYNTAX":
-            say("syntax", f"{self.entry.name} did not understand {attempt.line!r}")
-        end = ENDS_BY_WORD.get(word, AttemptEnd.ERROR)
-        return AttemptResult(end, attempt.reach, protocol.report_of(rest))
+MAX_SERVERS = 8192  # rows kept; a row is some hundred bytes, and a list past that is not this deployment's
+RETIRE_AFTER_MS = 10_000.0  # an actor without work is ended between one and two of these later
 
 
 class ServerRegistry:
     """All servers by name. A name is an identity: its address may change, its process may restart.
 
+    Actors are made at first use and retired when idle, so that what this process holds goes by its traffic and not by
+    the length of the list.
+
     Attributes:
-        all: by name.
+        rows: of the endpoint list by name; those that are gone too, while there is room.
+        actors: by name, of the servers that have work or had some lately.
         out: out of rotation by operators, listed or not.
         post: takes events for the routing actor.
     """
 
-    def __init__(self, clock: Clock, dial_ms: float, post: Post, metrics: ConnectionMetrics) -> None:
-        self.all: dict[str, ServerActor] = {}
+    def __init__(
+        self, clock: Clock, dial_ms: float, post: Post, metrics: ConnectionMetrics, budget: DescriptorBudget
+    ) -> None:
+        self.rows: dict[str, EndpointRow] = {}
+        self.actors: dict[str, ServerActor] = {}
         self.out: set[str] = set()
         self.post = post
         self.dial_ms = dial_ms
         self._clock = clock
         self._metrics = metrics
+        self._budget = budget
+        self._pool = HealthConnections(lambda: budget.health_checks)
+        self._idle: set[str] = set()  # actors that were idle when last looked at
+        self._looked_ms = clock.now()
 
     def hold(self, name: str, out: bool) -> None:
         """Nothing that is queued or being connected starts there any more, or all may again."""
@@ -198,56 +52,97 @@
             self.out.add(name)
         else:
             self.out.discard(name)
-        if server := self.all.get(name):
-            server.held = out
+        if actor := self.actors.get(name):
+            actor.held = out
 
     def listed(self) -> list[str]:
         """Names of the servers that discovery lists."""
-        return [name for name, server in self.all.items() if server.entry.status != "DELETED"]
+        return [row.name for row in self.listed_rows()]
+
+    def listed_rows(self) -> Iterator[EndpointRow]:
+        """Rows of the servers that discovery lists."""
+        return (row for row in self.rows.values() if row.status != "DELETED")
+
+    def knows(self, name: str) -> bool:
+        """Whether the server is listed, or was."""
+        return name in self.rows
+
+    def count_health_connections(self) -> int:
+        """Connections for health checks that are open."""
+        return len(self._pool)
 
     def get(self, name: str) -> ServerActor | None:
-        """The server of that name, where it is known."""
-        return self.all.get(name)
+        """The actor of that server, made where there is none yet; None where no such server is known."""
+        if actor := self.actors.get(name):
+            return actor
+        row = self.rows.get(name)
+        if row is None:
+            return None
+        actor = ServerActor(row, self._clock, self.dial_ms, self._post, self._metrics, self._pool)
+        actor.held = name in self.out
+        self.actors[name] = actor
+        return actor
+
+    def _post(self, event: interface.Event) -> bool:
+        return self.post(event)
 
     def update(self, kind: interface.ListKind, rows: list[EndpointRow]) -> None:
         """Takes a list or changes of it, and hands them to the routing actor."""
         if kind != "changes":
-            named = {row.name for row in rows}
-            for name in [name for name in self.all if name not in named]:
-                self.all[name].entry.status = "DELETED"
+            self._mark_others_deleted({row.name for row in rows})
         for row in rows:
             self._update_one(row)
+        self._budget.servers = len(self.rows)
         now_ms = self._clock.now()  # one that starts in the future would be in slow start for as long
-        endpoints = tuple(_endpoint_of(row, now_ms) for row in rows if row.name in self.all)
+        endpoints = tuple(_endpoint_of(row, now_ms) for row in rows if row.name in self.rows)
         self.post(interface.EndpointList(kind, endpoints))
 
+    def _mark_others_deleted(self, named: set[str]) -> None:
+        for name, row in self.rows.items():
+            if name not in named:
+                row.status = "DELETED"
+
     def _update_one(self, row: EndpointRow) -> None:
-        known = self.all.get(row.name)
-        if known:
-            known.update(row)
-            return
-        if len(self.all) >= MAX_SERVERS:
+        if row.name not in self.rows and len(self.rows) >= MAX_SERVERS:
             self._forget_deleted()
-        if len(self.all) < MAX_SERVERS:
-            server = ServerActor(row, self._clock, self.dial_ms, self.post, self._metrics)
-            server.held = row.name in self.out
-            self.all[row.name] = server
+            if len(self.rows) >= MAX_SERVERS:
+                say("name table", f"row of {row.name} left out: {MAX_SERVERS} servers are the most")
+                return
+        self.rows[row.name] = row
+        if actor := self.actors.get(row.name):
+            actor.update(row)
 
     def _forget_deleted(self) -> None:
-        deleted = [name for name, one in self.all.items() if one.entry.status == "DELETED" and not one.tasks]
+        deleted = [row.name for row in self.rows.values() if row.status == "DELETED" and not self._is_at_work(row.name)]
         for name in deleted:
-            self.all.pop(name).stop()
+            del self.rows[name]
+            self._retire(name)
+
+    def _is_at_work(self, name: str) -> bool:
+        actor = self.actors.get(name)
+        return actor is not None and bool(actor.tasks)
 
     def probe(self, name: str) -> None:
         """Sends a health check; one that cannot be sent is told."""
-        server = self.all.get(name)
-        if server is None or not server.mailbox.put(ServerJob.HEALTH_CHECK):
+        actor = self.get(name)
+        if actor is None or not actor.mailbox.put(ServerJob.HEALTH_CHECK):
             self.post(interface.HealthCheckResult(name, "unsent"))
 
     def tidy(self) -> None:
-        """Closes health checks' connections that have been idle."""
-        for server in self.all.values():
-            server.tidy()
+        """Closes health checks' connections that have been idle, and retires actors without work."""
+        for actor in self.actors.values():
+            actor.tidy()
+        if self._clock.now() - self._looked_ms < RETIRE_AFTER_MS:
+            return
+        self._looked_ms = self._clock.now()
+        idle = {name for name, actor in self.actors.items() if actor.is_idle}
+        for name in idle & self._idle:
+            self._retire(name)
+        self._idle = idle
+
+    def _retire(self, name: str) -> None:
+        if actor := self.actors.pop(name, None):
+            actor.stop()
 
 
 def _endpoint_of(row: EndpointRow, now_ms: float) -> interface.Endpoint:
--- a/glenrock/net/socket_io.py
+++ b/glenrock/net/socket_io.py
@@ -11,6 +11,7 @@
 import contextlib
 import socket
 
+DRAIN_BYTES, MAX_DRAINED_READS = 16384, 4
 LINGER_ON_FOR_ZERO_S = b"\1\0\0\0\0\0\0\0"  # struct linger: a close resets the connection
 
 
@@ -31,6 +32,15 @@
     sock.close()
 
 
+def close_drained(sock: socket.socket) -> None:
+    """Closes a socket whose last word is written: what still came is read first, so that no reset takes that along."""
+    with contextlib.suppress(OSError):
+        for _ in range(MAX_DRAINED_READS):
+            if not sock.recv(DRAIN_BYTES):
+                break
+    sock.close()
+
+
 async def readable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
     """Until there is something to read, or an end."""
     ready = loop.create_future()
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -17,6 +17,7 @@
 from .net.acceptor import Acceptor
 from .net.clock import Clock
 from .net.connection_table import ConnectionTable
+from .net.descriptor_budget import DescriptorBudget
 from .net.endpoint_watcher import EndpointWatcher
 from .net.graceful_shutdown import GracefulShutdown
 from .net.metrics import ConnectionMetrics
@@ -41,6 +42,12 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
+def effective_descriptor_limit(descriptors: int) -> int:
+    """The limit that binds: the configured one, or the process's own where that is lower."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return descriptors if soft == resource.RLIM_INFINITY else min(descriptors, soft)
+
+
 class Operators:
     """The parts that serve operators. Imported only where they are wanted: memory is short."""
 
@@ -54,7 +61,7 @@
             program.routing, program.servers, program.connections, program.shutdown, self.override_sync
         )
         self.listener = Listener(self.operations, program.clock)
-        program.connections.reserved += RESERVED_DESCRIPTORS
+        program.budget.operators = RESERVED_DESCRIPTORS
 
     def start(self, program: Program) -> None:
         """Before the first list: what operators took out of rotation must be known when it comes."""
@@ -92,7 +99,7 @@
             say("upgrade", f"the other process does not know of this one: {error}")
         connections = self._program.connections
         connections.elsewhere = self._marks.count_descriptors
-        connections.others = self._marks.count_descriptors()
+        connections.budget.elsewhere = self._marks.count_descriptors()
 
     def take_relays(self) -> None:
         """From now on relays of the process before can be taken over."""
@@ -140,23 +147,32 @@
         self.clock = clock
         self.routing = RoutingActor(settings, config.seed, clock)
         metrics = ConnectionMetrics(one.name for one in settings.classes)
-        self.servers = ServerRegistry(clock, settings.connect_timeout_us / 1000, self.routing.post, metrics)
+        self.budget = DescriptorBudget(effective_descriptor_limit(config.sockets))
+        self.servers = ServerRegistry(
+            clock, settings.connect_timeout_us / 1000, self.routing.post, metrics, self.budget
+        )
         self.endpoints = EndpointWatcher(
             config.discovery, clock, self.servers.update, self._report_poll_failure, _poll_backoff_of(config)
         )
         self.connections = ConnectionTable(
-            self.routing, self.servers, clock, config.sockets, config.measures_delay, metrics
+            self.routing, self.servers, clock, self.budget, config.measures_delay, metrics
         )
         self.acceptor = Acceptor(self.connections, clock)
         self.shutdown = GracefulShutdown(self.connections, self.acceptor, clock)
         self.operators = Operators(self) if config.admin else None
         self.routing.probe = self.servers.probe
         self.peers = self._peers_of(config)
+        self._check_budget()
         self.coordination = _coordination_of(self) if config.fleet else None
         self._config_at_start = config
         self._tasks: set[asyncio.Task[None]] = set()
         self._upgrade = Upgrade(self, config.accept_fd) if config.accept_fd is not None else None
 
+    def _check_budget(self) -> None:
+        """Raises ConfigError where not a single client could be served."""
+        if shortfall := self.budget.shortfall():
+            raise ConfigError(f"limits.sockets: {shortfall}")
+
     def _report_poll_failure(self) -> None:
         self.routing.post(interface.EndpointList("failed"))
 
@@ -221,6 +237,9 @@
         except ConfigError as error:
             say("config", f"{error}; the old configuration stays")
             return
+        if shortfall := self.budget.shortfall_at(new.sockets):
+            say("config", f"limits.sockets: {shortfall}; the old configuration stays")
+            return
         waiting = [key for key in TAKEN_AT_START if getattr(new, key) != getattr(self.config, key)]
         if waiting:
             say("config", f"{', '.join(waiting)}: changed, but taken over only at the next start")
@@ -228,7 +247,7 @@
         if self.peers:
             self.peers.move(new.peers, new.peers_all)
         raise_descriptor_limit(new.sockets)
-        self.connections.sockets = new.sockets
+        self.budget.limit = effective_descriptor_limit(new.sockets)
         self.config = replace(
             self.config, discovery=new.discovery, peers=new.peers, peers_all=new.peers_all, sockets=new.sockets
         )
--- a/glenrock/upgrade/override_sync.py
+++ b/glenrock/upgrade/override_sync.py
@@ -38,7 +38,7 @@
 
     def knows(self, name: str) -> bool:
         """Whether the server was ever listed, here or in a process before."""
-        return name in self._servers.all or name in self.held.seen
+        return self._servers.knows(name) or name in self.held.seen
 
     def start(self) -> None:
         """Before the first list is taken: what was out stays out, and what came back lately is warmed up."""
@@ -49,7 +49,7 @@
         while True:
             await self._clock.sleep(POLL_MS)
             self._follow_file()
-            if len(self._servers.all) != self._written_servers:
+            if len(self._servers.rows) != self._written_servers:
                 await self._write_listed()
 
     async def _write_listed(self) -> None:
@@ -94,7 +94,7 @@
             change(self.held)
             return
         async with self._changing:
-            listed = list(self._servers.all)
+            listed = list(self._servers.rows)
             oldest_ms = self._clock.now() - BACK_KEPT_MS
             done = await asyncio.to_thread(override_file.exchange, self.folder, change, self.held, listed, oldest_ms)
             if done.found is not None:
--- a/tests/coordination/test_coldstart.py
+++ b/tests/coordination/test_coldstart.py
@@ -27,6 +27,7 @@
 from glenrock.coordination.warm_start.start_report import HEADER, report
 from glenrock.net.clock import SetClock
 from glenrock.net.poll_backoff import PollBackoff
+from glenrock.net.server_connections import ServerRegistry
 from glenrock.routing import Balancer, interface
 
 TRUST = RecordTrust(list_ms=60_000.0, half_ms=10_000.0)
@@ -178,11 +179,13 @@
     gone = SimpleNamespace(**{**vars(entry), "name": "s2", "status": "DELETED"})
     heard = asyncio.Event()
     heard.set()
+    servers = ServerRegistry.__new__(ServerRegistry)
+    servers.rows = {"s1": entry, "s2": gone}
     program = SimpleNamespace(
         clock=SetClock(NOW),
         routing=SimpleNamespace(balancer=Balancer(SETTINGS, 1)),
         endpoints=SimpleNamespace(address=("d", 1), newest=version, first=heard),
-        servers=SimpleNamespace(all={"s1": SimpleNamespace(entry=entry), "s2": SimpleNamespace(entry=gone)}),
+        servers=servers,
     )
     return StartCache(program, folder, "n0", TRUST)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,7 @@
 from test_exchanges import SETTINGS
 
 from glenrock.config import check
-from glenrock.net import server_connections as instance_part
+from glenrock.net import server_actor as instance_part
 from glenrock.net.acceptor import IDLE_MS, LAST_MS, LINGER_MS
 from glenrock.net.attempt_outcomes import Reach
 from glenrock.net.client_connection import AnswerNow, ClientConnection, MigrateClient, RelayEnd
@@ -807,6 +807,8 @@
 def test_whatever_the_order_each_has_one_answer_or_end_and_nothing_is_left(before, steps) -> None:
     async def story(rig: Rig) -> None:
         await rig.open()
+        rig.program.servers.get("s1")  # its actor is made at first use, and outlives the work
+        await rig.turns()
         fds, tasks = len(os.listdir("/proc/self/fd")), len(asyncio.all_tasks())
         client, sent = rig.client(LINE), b""
         at = await rig.at("s1")
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -19,10 +19,13 @@
 from glenrock.config import check
 from glenrock.net.attempt_outcomes import AttemptEnd
 from glenrock.net.clock import Clock
+from glenrock.net.connection_attempt import ConnectionAttempt
+from glenrock.net.descriptor_budget import DescriptorBudget
+from glenrock.net.endpoint_rows import EndpointRow
 from glenrock.net.endpoint_watcher import HttpAnswer as DiscoveryAnswer
 from glenrock.net.metrics import ConnectionMetrics
 from glenrock.net.protocol import LineSplitter
-from glenrock.net.server_connections import ConnectionAttempt, EndpointRow, ServerRegistry
+from glenrock.net.server_connections import ServerRegistry
 from glenrock.program import Program
 
 
@@ -173,7 +176,7 @@
         writer.close()
         assert len(listener.open) <= MAX_CALLERS + 1
     assert await asyncio.wait_for(mute[0][0].read(), 1) == b""  # the oldest made room
-    assert site.program.connections.reserved >= MAX_CALLERS
+    assert site.program.budget.operators >= MAX_CALLERS
 
 
 def test_callers_that_say_nothing_cost_few_descriptors_and_delay_nobody() -> None:
@@ -214,7 +217,7 @@
         writer.close()
 
     server = await asyncio.start_server(instance, "127.0.0.1", 0)
-    instances = ServerRegistry(Clock(), 250, lambda e: True, ConnectionMetrics(["look"]))
+    instances = ServerRegistry(Clock(), 250, lambda e: True, ConnectionMetrics(["look"]), DescriptorBudget(1024))
     instances.update("full", [EndpointRow("s1", server.sockets[0].getsockname(), "SERVING")])
     done = asyncio.get_running_loop().create_future()
     attempt = ConnectionAttempt(b"OPEN 1 1 c=look,d=900\r\n", 900, lambda x, end: done.set_result(end))
