--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -22,6 +22,7 @@
 IDLE_MS = 10_000.0  # one that was answered PONG may stay this long
 LINGER_MS = 1000.0  # one that was rejected has this long to end
 LINGER_BYTES = 65536  # and may send this much more; past that it is cut off
+SHORTAGE_MS = 100.0  # a shortage of descriptors that lasts this long is ended by shedding
 RESUME_MS = 20.0  # no connection is taken this long after one could not be
 MAX_ACCEPTS = 8  # connections accepted in one turn: a flood must not keep the loop from its relays
 BACKLOG = 4096  # connections that the system accepts before this program does
@@ -90,6 +91,7 @@
         self._clock = clock
         self._answered: dict[asyncio.Task[None], None] = {}  # have had an answer and are owed no other
         self._waits: dict[asyncio.Task[None], Limit] = {}  # for a line of theirs
+        self._short_since_ms: float | None = None  # not one connection could be taken since then
         self._is_last = False  # no more are taken, and nobody is waited for
         self._hurried: set[asyncio.Task[None]] = set()  # are told to come again, unless a request is there already
         self._lingering: dict[asyncio.Task[None], None] = {}  # of those answered, who have had their last word
@@ -157,13 +159,20 @@
                     continue
                 self._pause_accepting(self.listener, error)
                 return
+            self._short_since_ms = None
             self._take(sock)
 
     def _pause_accepting(self, listener: socket.socket, error: OSError) -> None:
-        """Out of descriptors or memory: the listener must outlive that, and spin meanwhile it must not."""
+        """Out of descriptors or memory: the listener must outlive that, and spin meanwhile it must not.
+
+        A shortage of a moment costs nobody a place; one that lasts is ours to end.
+        """
         say("accept", str(error))
+        now_ms = self._clock.now()
         if is_shortage(error):
-            self._shed()
+            self._short_since_ms = now_ms if self._short_since_ms is None else self._short_since_ms
+            if now_ms - self._short_since_ms >= SHORTAGE_MS:
+                self._shed()
         asyncio.get_running_loop().remove_reader(listener)
         self._clock.call_at(self._clock.now() + RESUME_MS, self._resume)
 
--- a/glenrock/testbed/balancer_process.py
+++ b/glenrock/testbed/balancer_process.py
@@ -37,6 +37,7 @@
         config: written to its file at each start.
         environment: variables beside the usual ones.
         lives: starts so far.
+        folder: of its configuration, log and temporary files.
     """
 
     def __init__(self, number: int, folder: Path, config: dict[str, Any], source: Path = ROOT) -> None:
@@ -45,7 +46,7 @@
         self.environment: dict[str, str] = {}
         self.lives = 0
         self.log_path = folder / "log"
-        self._folder = folder
+        self.folder = folder
         self._source = source
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -67,8 +68,8 @@
 
     def write_config(self) -> Path:
         """Writes the configuration file, whole or not at all."""
-        self._folder.mkdir(parents=True, exist_ok=True)
-        path = self._folder / "config.json"
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "config.json"
         beside = path.with_suffix(".new")
         beside.write_text(json.dumps(self.config), encoding="utf-8")
         beside.replace(path)
@@ -77,7 +78,7 @@
     def start(self) -> None:
         """Starts a new life."""
         path = self.write_config()
-        temporary = self._folder / "tmp"
+        temporary = self.folder / "tmp"
         temporary.mkdir(exist_ok=True)
         environment = {name: value for name, value in os.environ.items() if name not in VARIABLES}
         environment |= {"LB_CONFIG": str(path), "TMPDIR": str(temporary), **self.environment}
--- a/glenrock/testbed/bed.py
+++ b/glenrock/testbed/bed.py
@@ -14,6 +14,7 @@
 
 from ..stage.net import Net
 from .balancer_process import ROOT, BalancerProcess
+from .call_faults import CallFaults
 from .clients import Client, ClientPlan
 from .discovery_agent import DiscoveryAgent
 from .endpoint_directory import EndpointDirectory, ListedServer
@@ -162,6 +163,14 @@
             config |= {"peer_listen": peers[number], "peers": peers}
         return config
 
+    def call_faults(self, number: int, seed: int = 1) -> CallFaults:
+        """Puts the next lives of a process under a library that can fail its calls."""
+        process = self.processes[number]
+        process.write_config()
+        faults = CallFaults(process.folder, seed)
+        process.environment |= faults.environment()
+        return faults
+
     async def start_balancers(self) -> None:
         """Starts all processes, and waits until each answers PING.
 
