Let no age of a server rest on one reading of the wall clock

Cause: since_ms was held against a clock anchored to the wall clock once, at the start. A balancer that started with its clock an hour ahead, or whose servers' clocks were set back later, held a server for warm that had just started; an hour behind, for cold at each whole list. Ruled out: deadlines, waits, graces, leases and backoffs (monotonic or boot time by reading; the starts kept on disk leave out times from now on). Change: net/start_times.py takes a start once, when it is news. News is no older than the time since discovery answered last plus 3 s; both the anchored clock and the wall clock of now bound it; in a first list the newest start bounds the rest, and its wave is held for cold unless it is more than half of the fleet. Not covered, by reading: peers of a process that restarts with its clock behind pass its summaries over for up to 15 s, and a server that an operator called back right before an upgrade under a step counts by the old stamp.

--- a/glenrock/net/endpoint_watcher.py
+++ b/glenrock/net/endpoint_watcher.py
@@ -117,6 +117,7 @@
         update: Callable[[ListKind, list[EndpointRow]], None],
         failed: Callable[[], None],
         pace: PollBackoff,
+        answered: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = address
         self.pace = pace
@@ -125,6 +126,7 @@
         self._clock = clock
         self._update = update
         self._failed = failed
+        self._answered = answered
         self._sock: socket.socket | None = None
         self._limit: Limit | None = None  # of what the actor waits for now
         self._version: int | None = None  # that a watch goes on from
@@ -227,6 +229,7 @@
             await self._within(2 * SOON_MS, self._clock.sleep(SOON_MS))
         if news.rows or news.is_full:
             self._update("full" if news.is_full else "changes", news.rows)
+        self._answered()
         self.first.set()
 
     def _check(self, news: EndpointNews) -> None:
--- a/glenrock/net/server_connections.py
+++ b/glenrock/net/server_connections.py
@@ -13,6 +13,7 @@
 from .health_connections import HealthConnections
 from .metrics import ConnectionMetrics
 from .server_actor import Post, ServerActor, ServerJob
+from .start_times import StartTimes
 
 MAX_SERVERS = 8192  # rows kept; a row is some hundred bytes, and a list past that is not this deployment's
 RETIRE_AFTER_MS = 10_000.0  # an actor without work is ended between one and two of these later
@@ -32,7 +33,13 @@
     """
 
     def __init__(
-        self, clock: Clock, dial_ms: float, post: Post, metrics: ConnectionMetrics, budget: DescriptorBudget
+        self,
+        clock: Clock,
+        dial_ms: float,
+        post: Post,
+        metrics: ConnectionMetrics,
+        budget: DescriptorBudget,
+        start_times: StartTimes,
     ) -> None:
         self.rows: dict[str, EndpointRow] = {}
         self.actors: dict[str, ServerActor] = {}
@@ -42,6 +49,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budget = budget
+        self._start_times = start_times
         self._pool = HealthConnections(lambda: budget.health_checks)
         self._idle: set[str] = set()  # actors that were idle when last looked at
         self._looked_ms = clock.now()
@@ -93,8 +101,9 @@
         for row in rows:
             self._update_one(row)
         self._budget.servers = len(self.rows)
-        now_ms = self._clock.now()  # one that starts in the future would be in slow start for as long
-        endpoints = tuple(_endpoint_of(row, now_ms) for row in rows if row.name in self.rows)
+        kept = [row for row in rows if row.name in self.rows]
+        started_ms = self._start_times.take(kept)
+        endpoints = tuple(_endpoint_of(row, at_ms) for row, at_ms in zip(kept, started_ms, strict=True))
         self.post(interface.EndpointList(kind, endpoints))
 
     def _mark_others_deleted(self, named: set[str]) -> None:
@@ -116,6 +125,7 @@
         deleted = [row.name for row in self.rows.values() if row.status == "DELETED" and not self._is_at_work(row.name)]
         for name in deleted:
             del self.rows[name]
+            self._start_times.forget(name)
             self._retire(name)
 
     def _is_at_work(self, name: str) -> bool:
@@ -145,6 +155,5 @@
             actor.stop()
 
 
-def _endpoint_of(row: EndpointRow, now_ms: float) -> interface.Endpoint:
-    started_us = micros(min(now_ms, row.since_ms))
-    return interface.Endpoint(row.name, STATES[row.status], row.zone, row.group, row.weight, started_us)
+def _endpoint_of(row: EndpointRow, started_ms: float) -> interface.Endpoint:
+    return interface.Endpoint(row.name, STATES[row.status], row.zone, row.group, row.weight, micros(started_ms))
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -25,6 +25,7 @@
 from .net.poll_backoff import PollBackoff
 from .net.routing_actor import RoutingActor
 from .net.server_connections import ServerRegistry
+from .net.start_times import StartTimes
 
 if TYPE_CHECKING:
     from .coordination.agent import CoordinationAgent
@@ -148,11 +149,17 @@
         self.routing = RoutingActor(settings, config.seed, clock)
         metrics = ConnectionMetrics(one.name for one in settings.classes)
         self.budget = DescriptorBudget(effective_descriptor_limit(config.sockets))
+        start_times = StartTimes(clock, settings.slow_start_us / 1000)
         self.servers = ServerRegistry(
-            clock, settings.connect_timeout_us / 1000, self.routing.post, metrics, self.budget
+            clock, settings.connect_timeout_us / 1000, self.routing.post, metrics, self.budget, start_times
         )
         self.endpoints = EndpointWatcher(
-            config.discovery, clock, self.servers.update, self._report_poll_failure, _poll_backoff_of(config)
+            config.discovery,
+            clock,
+            self.servers.update,
+            self._report_poll_failure,
+            _poll_backoff_of(config),
+            start_times.record_answer,
         )
         self.connections = ConnectionTable(
             self.routing, self.servers, clock, self.budget, config.measures_delay, metrics
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -26,6 +26,7 @@
 from glenrock.net.metrics import ConnectionMetrics
 from glenrock.net.protocol import LineSplitter
 from glenrock.net.server_connections import ServerRegistry
+from glenrock.net.start_times import StartTimes
 from glenrock.program import Program
 
 
@@ -217,7 +218,9 @@
         writer.close()
 
     server = await asyncio.start_server(instance, "127.0.0.1", 0)
-    instances = ServerRegistry(Clock(), 250, lambda e: True, ConnectionMetrics(["look"]), DescriptorBudget(1024))
+    instances = ServerRegistry(
+        Clock(), 250, lambda e: True, ConnectionMetrics(["look"]), DescriptorBudget(1024), StartTimes(Clock(), 5000)
+    )
     instances.update("full", [EndpointRow("s1", server.sockets[0].getsockname(), "SERVING")])
     done = asyncio.get_running_loop().create_future()
     attempt = ConnectionAttempt(b"OPEN 1 1 c=look,d=900\r\n", 900, lambda x, end: done.set_result(end))
