Keep the last whole record beside each kept file, with a digest, and sync what is owed

The state of terms and words was renamed into place without a sync, so a machine's end could undo what was acknowledged; one that was cut or spoilt was left aside whole, marks and all; a spoilt byte in a number went unseen; a failed write left its half beside, and answers that waited for it were dropped. Ruled out: half files in place (written beside and renamed already); a write that fails and is acted on (refused already, tested). Change: durable_file.py writes beside, syncs, keeps the file before as a second name, renames and syncs the folder. A digest is one more key; files of earlier versions have none and are read, and those versions read ours. A spoilt newest state gives the marks of the one before, and the store must say the rest; a spoilt operators' file at a start gives the one before. Told once in the log, counted, and told when it works again. Operators' words in $TMPDIR are not synced: their calls are due within 1 s, and both processes share one life of the machine.

--- a/glenrock/coordination/context.py
+++ b/glenrock/coordination/context.py
@@ -24,6 +24,7 @@
 
     Attributes:
         name: of this balancer. `holder`: of this incarnation of it.
+        unwritable: the state could not be written when that was last tried.
         merged_changes: servers that changed since another process of this name had written them down.
     """
 
@@ -38,6 +39,7 @@
     leases: LeaseRunner
     tasks: BackgroundTasks
     merged_changes: dict[str, bool] = field(default_factory=dict)
+    unwritable: bool = False
     _writing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def write_state(self) -> bool:
@@ -52,8 +54,14 @@
             try:
                 merged = await asyncio.to_thread(self.state.write, snapshot)
             except OSError as error:
-                say("fleet", f"{self.state.path} cannot be written, so nothing is taken: {error}")
+                if not self.unwritable:  # told once: it is tried again each half second
+                    say("fleet", f"{self.state.path} cannot be written, so nothing is taken: {error}")
+                self.unwritable = True
+                self.host.connections.metrics.add_system_error(error)
                 return False
+        if self.unwritable:
+            self.unwritable = False
+            say("fleet", f"{self.state.path} can be written again")
         if merged:
             self.merged_changes.update(self.state.merge(snapshot, self.fence, self.overrides))
         took_ms = clock.now() - began_ms
--- a/glenrock/coordination/durable_state.py
+++ b/glenrock/coordination/durable_state.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from .. import durable_file
 from .leases.fence import Fence, TermMark
 from .leases.sqlite_store import current_boot
 from .shared_work.override_log import OverrideEntry, OverrideLog, PendingOverride, pending_of
@@ -70,8 +71,8 @@
     def read(self, fence: Fence, overrides: OverrideLog) -> bool:
         """Takes over what stands there; True where that is all that was seen.
 
-        Written without waiting for the disk: a process that dies loses nothing, a machine that does may lose the last.
-        After a boot the file's marks count, and the store must say the rest.
+        After a boot the file's marks count, and the store must say the rest. So it is with the record before, where the
+        file is spoilt.
 
         Raises:
             DurableStateError: the file cannot be used.
@@ -84,11 +85,27 @@
             return False
         except OSError as error:
             raise DurableStateError(str(error)) from error
-        content = _content_of(data)
+        try:
+            content = _content_of(data)
+        except DurableStateError:
+            self._take_previous(fence, overrides)
+            raise
         complete = bool(content.boot == self.boot)
         was_known = fence.known
-        fence.restore(content.seen)
+        self._take(content, fence, overrides)
         fence.known = was_known or complete
+        return complete
+
+    def _take_previous(self, fence: Fence, overrides: OverrideLog) -> None:
+        """The last whole record, where the newest is spoilt: its marks count, and the store must say the rest."""
+        with contextlib.suppress(OSError, DurableStateError):
+            was_known = fence.known
+            content = _content_of(durable_file.previous_of(self.path).read_bytes()[: MAX_BYTES + 1])
+            self._take(content, fence, overrides)
+            fence.known = was_known
+
+    def _take(self, content: _Content, fence: Fence, overrides: OverrideLog) -> None:
+        fence.restore(content.seen)
         for server, entry in content.entries.items():
             overrides.take(server, entry)
         for incarnation, count in content.numbered_upto.items():
@@ -97,7 +114,6 @@
             if pending and pending_id not in overrides.pending:
                 overrides.add_pending(pending_id, pending.server, pending.out)
         self.tickets.update(content.tickets)
-        return complete
 
     def merge(self, snapshot: dict[str, Any], fence: Fence, overrides: OverrideLog) -> dict[str, bool]:
         """Takes in what another process of this name knew. Returns the servers that change by it."""
@@ -139,12 +155,8 @@
         """
         with self._locked():
             merged = self._merge_file(snapshot)
-            beside = self.path.with_suffix(f".{os.getpid()}")
-            with open(beside, "wb") as file:
-                file.write(json.dumps(snapshot).encode())
-                file.flush()
-                self._stamp = _stamp_of(os.fstat(file.fileno()))
-            os.replace(beside, self.path)
+            durable_file.replace(self.path, durable_file.sealed(snapshot), sync=True)
+            self._stamp = _stamp_of(os.stat(self.path))
             return merged
 
     @contextlib.contextmanager
@@ -175,6 +187,7 @@
     if not isinstance(raw, dict) or raw.get("version") != VERSION:
         raise DurableStateError(f"not of version {VERSION}")
     try:
+        durable_file.check_seal(raw)
         return _Content(
             boot=raw.get("boot"),
             seen={str(job): TermMark(int(term), int(number)) for job, (term, number) in raw["seen"].items()},
--- a/glenrock/coordination/override_applier.py
+++ b/glenrock/coordination/override_applier.py
@@ -94,6 +94,7 @@
             dirty, self._dirty = self._dirty, False
             if dirty and not await self._context.write_state():
                 self._dirty = True
+                self._replies = replies + self._replies
                 await asyncio.sleep(RETRY_S)
                 self.unsettled.set()
                 continue
--- a/glenrock/upgrade/override_file.py
+++ b/glenrock/upgrade/override_file.py
@@ -12,8 +12,11 @@
 import os
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, NamedTuple, TypeGuard
 
+from .. import durable_file
+
 FILE_NAME = "glenrock-operators.json"
 LOCK_NAME = "glenrock-operators.lock"
 VERSION = 1
@@ -80,6 +83,10 @@
         raise OverrideFileError(str(error)) from error
     if not isinstance(raw, dict) or raw.get("version") != VERSION:
         raise OverrideFileError(f"not of version {VERSION}")
+    try:
+        durable_file.check_seal(raw)
+    except durable_file.SpoiltFileError as error:
+        raise OverrideFileError(str(error)) from error
     out = raw.get("out")
     back = raw.get("back")
     seen = raw.get("seen")
@@ -136,18 +143,25 @@
     return parse(data)
 
 
+def read_previous(folder: str) -> SharedOverrides | None:
+    """The content of the file before the last one; None where there is none that can be used."""
+    try:
+        return parse(durable_file.previous_of(Path(folder, FILE_NAME)).read_bytes()[: MAX_FILE_BYTES + 1])
+    except (OSError, OverrideFileError):
+        return None
+
+
 def write(folder: str, shared: SharedOverrides) -> None:
     """Replaces the file as a whole.
 
-    Written in place, the other process would read half of it.
+    Written in place, the other process would read half of it. The disk is not waited for: a folder of one machine's
+    life is all that two processes of an upgrade share, and operators' calls are due within a second.
 
     Raises:
         OSError: it cannot be written.
     """
-    path = os.path.join(folder, f"{FILE_NAME}.{os.getpid()}")
-    with open(path, "wb") as file:
-        file.write(encode(shared))
-    os.replace(path, os.path.join(folder, FILE_NAME))
+    content = json.loads(encode(shared))
+    durable_file.replace(Path(folder, FILE_NAME), durable_file.sealed(content), sync=False)
 
 
 def exchange(
--- a/glenrock/upgrade/override_sync.py
+++ b/glenrock/upgrade/override_sync.py
@@ -42,7 +42,9 @@
 
     def start(self) -> None:
         """Before the first list is taken: what was out stays out, and what came back lately is warmed up."""
-        self._follow_file()
+        if not self._follow_file() and (found := override_file.read_previous(self.folder)):
+            say("upgrade", f"{FILE_NAME}: the one before it is used")
+            self._adopt(found)
 
     async def watch(self) -> None:
         """For as long as the process runs; without a folder there is nothing to watch."""
@@ -58,21 +60,22 @@
         except OSError as error:
             say("upgrade", f"{FILE_NAME} cannot be written: {error}")
 
-    def _follow_file(self) -> None:
-        """Adopts what the other process has written."""
+    def _follow_file(self) -> bool:
+        """Adopts what the other process has written. False where it cannot be used."""
         if not self.folder:
-            return
+            return True
         signature = override_file.signature(self.folder)
         if signature == self._signature:
-            return
+            return True
         self._signature = signature
         try:
             found = override_file.read(self.folder)
         except OverrideFileError as error:
             say("upgrade", f"{FILE_NAME} is left aside, and what is held here goes on: {error}")
-            return
+            return False
         if found is not None:
             self._adopt(found)
+        return True
 
     def _adopt(self, found: SharedOverrides) -> None:
         for name in found.out ^ self.held.out:
--- /dev/null
+++ b/tests/test_durable_file.py
@@ -0,0 +1,175 @@
+"""Every write, sync and rename of a kept record fails in turn, and a kill leaves each part of one."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from glenrock import durable_file
+from glenrock.coordination.durable_state import DurableState, DurableStateError
+from glenrock.coordination.leases.fence import Fence
+from glenrock.coordination.shared_work.override_log import OverrideEntry, OverrideLog
+from glenrock.upgrade import override_file
+from glenrock.upgrade.override_file import SharedOverrides
+
+CALLS = ("write", "fsync", "replace")
+
+
+class FailingCalls:
+    """The n-th of these calls fails, and all after it until `heal`."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, call: str, nth: int, error: int) -> None:
+        self.count, self.failed = 0, 0
+        self._nth, self._error, self._whole = nth, error, False
+        for name in ("fsync", "replace"):
+            monkeypatch.setattr(durable_file.os, name, self._wrap(name == call, getattr(os, name)))
+        if call == "write":
+            monkeypatch.setattr(durable_file, "open", self._open, raising=False)
+
+    def heal(self) -> None:
+        self._whole = True
+
+    def _due(self) -> bool:
+        self.count += 1
+        due = self.count > self._nth and not self._whole
+        self.failed += due
+        return due
+
+    def _wrap(self, is_chosen: bool, real: Callable) -> Callable:
+        def call(*args):
+            if is_chosen and self._due():
+                raise OSError(self._error, os.strerror(self._error))
+            return real(*args)
+
+        return call
+
+    def _open(self, path, mode):
+        file = open(path, mode, buffering=0)  # noqa: SIM115 - handed on
+        real = file.write
+
+        class Half:
+            def __enter__(inner):
+                return inner
+
+            def __exit__(inner, *_):
+                file.close()
+
+            def write(inner, data):
+                if self._due():
+                    real(data[: len(data) // 2])
+                    raise OSError(self._error, os.strerror(self._error))
+                return real(data)
+
+            def flush(inner):
+                file.flush()
+
+            def fileno(inner):
+                return file.fileno()
+
+        return Half()
+
+
+def state_of(folder: Path) -> tuple[int, bool | None]:
+    """Term and word as a start reads them back."""
+    fence, log = Fence(), OverrideLog()
+    DurableState(folder, "n").read(fence, log)
+    entry = log.entries.get("s")
+    return fence.mark_of("bans").term, entry.out if entry else None
+
+
+def write_state(folder: Path, term: int, out: bool) -> None:
+    fence, log = Fence(known=True), OverrideLog()
+    fence.take("bans", term, 1)
+    log.take("s", OverrideEntry(out, (term, 1)))
+    state = DurableState(folder, "n")
+    state.write(state.snapshot(fence, log))
+
+
+@pytest.mark.parametrize("error", (errno.ENOSPC, errno.EIO))
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("nth", (0, 1, 2))
+def test_a_state_that_could_not_be_written_is_as_it_was_and_is_written_later(
+    call: str, nth: int, error: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    write_state(tmp_path, 3, True)
+    with monkeypatch.context() as patched:
+        failing = FailingCalls(patched, call, nth, error)
+        acknowledged = 3
+        for term in (4, 5, 6):
+            try:
+                write_state(tmp_path, term, term % 2 == 1)
+            except OSError:
+                # One whose rename was done and not synced may stand there already; it was not acknowledged.
+                assert failing.failed and acknowledged <= state_of(tmp_path)[0] <= term
+            else:
+                acknowledged = term
+            assert state_of(tmp_path)[1] == (state_of(tmp_path)[0] % 2 == 1), "a record is whole"
+        assert failing.failed
+        failing.heal()
+        write_state(tmp_path, 7, True)
+    assert state_of(tmp_path) == (7, True)
+    assert not [path for path in tmp_path.iterdir() if str(os.getpid()) in path.name], "nothing is left beside"
+
+
+def test_a_kill_after_each_byte_leaves_the_record_before(tmp_path: Path) -> None:
+    write_state(tmp_path, 3, True)
+    whole = (tmp_path / "glenrock-n.fleet.json").read_bytes()
+    for size in range(len(whole)):
+        (tmp_path / f"glenrock-n.fleet.json.{os.getpid()}").write_bytes(whole[:size])
+        assert state_of(tmp_path) == (3, True)
+    write_state(tmp_path, 4, False)
+    assert state_of(tmp_path) == (4, False)
+
+
+def test_a_record_cut_at_each_byte_or_spoilt_is_told_and_the_last_whole_one_counts(tmp_path: Path) -> None:
+    write_state(tmp_path, 3, True)
+    write_state(tmp_path, 4, False)
+    path = tmp_path / "glenrock-n.fleet.json"
+    whole = path.read_bytes()
+    spoilt = whole.replace(b'"bans": [4, 1]', b'"bans": [2, 1]')
+    assert spoilt != whole
+    for data in [whole[:size] for size in range(len(whole))] + [spoilt]:
+        path.write_bytes(data)
+        fence, log = Fence(), OverrideLog()
+        with pytest.raises(DurableStateError):
+            DurableState(tmp_path, "n").read(fence, log)
+        assert not fence.known and fence.mark_of("bans").term == 3 and log.entries["s"].out
+    with pytest.raises(DurableStateError, match="digest"):
+        DurableState(tmp_path, "n").read(Fence(), OverrideLog())
+
+
+@pytest.mark.parametrize("call", ("write", "replace"))
+def test_an_operators_word_that_could_not_be_written_is_not_taken(
+    call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    folder, held = str(tmp_path), SharedOverrides()
+    override_file.exchange(folder, lambda shared: shared.out.add("s1"), held, [], 0.0)
+    with monkeypatch.context() as patched:
+        FailingCalls(patched, call, 0, errno.ENOSPC)
+        with pytest.raises(OSError):
+            override_file.exchange(folder, lambda shared: shared.out.add("s2"), held, [], 0.0)
+    assert override_file.read(folder).out == {"s1"}
+    override_file.exchange(folder, lambda shared: shared.out.add("s2"), held, [], 0.0)
+    assert override_file.read(folder).out == {"s1", "s2"}
+
+
+def test_of_a_spoilt_file_of_operators_words_the_one_before_is_used(tmp_path: Path) -> None:
+    folder = str(tmp_path)
+    for name in ("s1", "s2"):
+        override_file.exchange(folder, lambda shared, name=name: shared.out.add(name), SharedOverrides(), [], 0.0)
+    path = tmp_path / override_file.FILE_NAME
+    path.write_bytes(path.read_bytes().replace(b'"s2"', b'"s3"'))
+    with pytest.raises(override_file.OverrideFileError, match="digest"):
+        override_file.read(folder)
+    assert override_file.read_previous(folder).out == {"s1"}
+
+
+def test_a_file_of_an_earlier_version_has_no_digest_and_is_read(tmp_path: Path) -> None:
+    content = {"version": 1, "out": ["s1"], "back": {}, "seen": ["s1"]}
+    (tmp_path / override_file.FILE_NAME).write_text(json.dumps(content))
+    assert override_file.read(str(tmp_path)).out == {"s1"}
