Remove the second name of a kept file where its rename fails, so the next one can be made

Ruled out: the file itself (whole in all six). Change: a link that is left is removed before and after. Nothing else.

--- a/glenrock/durable_file.py
+++ b/glenrock/durable_file.py
@@ -70,8 +70,7 @@
         _keep_previous(path, beside.with_name(beside.name + PREVIOUS_SUFFIX))
         os.replace(beside, path)
     except OSError:
-        with contextlib.suppress(OSError):
-            os.unlink(beside)
+        _remove(beside)
         raise
     if sync:
         _sync_folder(path.parent)
@@ -79,9 +78,17 @@
 
 def _keep_previous(path: Path, beside: Path) -> None:
     """A second name for the file that stands there; without one the replacement still holds."""
-    with contextlib.suppress(OSError):
+    _remove(beside)  # left by a try that got no further: the link would fail for ever
+    try:
         os.link(path, beside)
         os.replace(beside, previous_of(path))
+    except OSError:
+        _remove(beside)
+
+
+def _remove(path: Path) -> None:
+    with contextlib.suppress(OSError):
+        os.unlink(path)
 
 
 def _sync_folder(folder: Path) -> None:
