Remove the second name of a kept file always: a rename onto the same file does nothing

Cause: after a replacement that failed at its own rename, the file and the one before are two names of one file; the next rename between them succeeds and does nothing (rename(2)), and the name beside stays. Change: the name beside is removed whatever came of it. The test looks for what is left right after each failure too.

--- a/glenrock/durable_file.py
+++ b/glenrock/durable_file.py
@@ -79,11 +79,10 @@
 def _keep_previous(path: Path, beside: Path) -> None:
     """A second name for the file that stands there; without one the replacement still holds."""
     _remove(beside)  # left by a try that got no further: the link would fail for ever
-    try:
+    with contextlib.suppress(OSError):
         os.link(path, beside)
         os.replace(beside, previous_of(path))
-    except OSError:
-        _remove(beside)
+    _remove(beside)  # a rename onto another name of the same file does nothing (rename(2))
 
 
 def _remove(path: Path) -> None:
--- a/tests/test_durable_file.py
+++ b/tests/test_durable_file.py
@@ -82,6 +82,10 @@
     return fence.mark_of("bans").term, entry.out if entry else None
 
 
+def left_beside(folder: Path) -> list[str]:
+    return [path.name for path in folder.iterdir() if str(os.getpid()) in path.name]
+
+
 def write_state(folder: Path, term: int, out: bool) -> None:
     fence, log = Fence(known=True), OverrideLog()
     fence.take("bans", term, 1)
@@ -106,6 +110,7 @@
             except OSError:
                 # One whose rename was done and not synced may stand there already; it was not acknowledged.
                 assert failing.failed and acknowledged <= state_of(tmp_path)[0] <= term
+                assert not left_beside(tmp_path)
             else:
                 acknowledged = term
             assert state_of(tmp_path)[1] == (state_of(tmp_path)[0] % 2 == 1), "a record is whole"
@@ -113,7 +118,7 @@
         failing.heal()
         write_state(tmp_path, 7, True)
     assert state_of(tmp_path) == (7, True)
-    assert not [path for path in tmp_path.iterdir() if str(os.getpid()) in path.name], "nothing is left beside"
+    assert not left_beside(tmp_path)
 
 
 def test_a_kill_after_each_byte_leaves_the_record_before(tmp_path: Path) -> None:
