Soak: draw fleets, settings, traffic and overlapping faults by seed, and judge them from outside

Not judged: slow start's budget, and operators' folders (tested apart). Ruled out for the harness: a client whose transport was gone while it wrote raised RuntimeError and left no end on record; it counts as reset now.

--- a/glenrock/cli/main.py
+++ b/glenrock/cli/main.py
@@ -38,7 +38,15 @@
         return found
 
 
-COMMANDS = {"serve": "serve", "check": "check", "lab": "lab", "stage": "stage", "fleet": "fleet", "demo": "demo"}
+COMMANDS = {
+    "serve": "serve",
+    "check": "check",
+    "lab": "lab",
+    "stage": "stage",
+    "fleet": "fleet",
+    "demo": "demo",
+    "soak": "soak",
+}
 ROOT = LazyGroup(
     "glenrock.cli",
     COMMANDS,
--- a/glenrock/testbed/clients.py
+++ b/glenrock/testbed/clients.py
@@ -64,11 +64,18 @@
             plan.request_id, plan.balancer, plan.deadline_ms, plan.standing_at, effect=plan.effect
         )
         self.up = asyncio.Event()
+        self.ended = asyncio.Event()
         self._address = address
         self._record = record
 
     async def run(self) -> RequestRecord:
         """Plays the client. A connection that never came up leaves no record."""
+        try:
+            return await self._run()
+        finally:
+            self.ended.set()
+
+    async def _run(self) -> RequestRecord:
         try:
             connecting = asyncio.open_connection(*self._address)
             reader, writer = await asyncio.wait_for(connecting, CONNECT_S)
@@ -76,7 +83,11 @@
             return self.request
         try:
             await self._talk(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            RuntimeError,
+        ):  # uvloop's word for a transport that is gone
             self._ended(ConnectionEnd.RESET)
         finally:
             writer.close()
--- /dev/null
+++ b/glenrock/testbed/fault_player.py
@@ -0,0 +1,263 @@
+"""Plays the faults of a plan on a testbed, and lifts them again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from ..stage.net import cut_off
+from .bed import Testbed
+from .call_faults import CallFaults
+from .discovery_agent import DiscoveryAgent
+from .endpoint_directory import DELETED, DRAINING, SERVING
+from .fault_schedule import ALL_BALANCERS, FaultKind, PlannedFault, SoakPlan
+from .records import FaultRecord, HalfRequestRecord
+from .session_servers import ServerMode, SessionServer
+
+KILL_AFTER_MS = 700.0  # after the longest deadline, which counts as 3 s at least
+SHORTEST_LONGEST_DEADLINE_MS = 3000.0
+STALL_MS = 150
+NOTICE_S = 0.3  # the front sends new connections so long to a balancer that was told to end
+RELOAD_GAP_S = 0.15
+MODES = {
+    FaultKind.SERVER_HANG: ServerMode.HANGS,
+    FaultKind.SERVER_ERRORS: ServerMode.ERRORS,
+    FaultKind.SERVER_BUSY: ServerMode.BUSY,
+    FaultKind.SERVER_RESETS: ServerMode.RESETS,
+}
+HALF_LINE = b"OPEN 00ff 00"
+
+
+class FaultPlayer:
+    """The faults of one run.
+
+    Attributes:
+        taken: balancers that the front sends new connections to.
+    """
+
+    def __init__(self, bed: Testbed, plan: SoakPlan, call_faults: list[CallFaults]) -> None:
+        self.taken = set(range(plan.shape.balancers))
+        self._bed = bed
+        self._plan = plan
+        self._call_faults = call_faults
+        self._rng = random.Random(plan.seed + 1)  # noqa: S311 - draws need be repeatable, not secret
+        self._restarting: set[int] = set()
+        self._new_servers = 0
+        self._drained: set[str] = set()
+        handlers: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
+            FaultKind.TERMINATE: lambda fault: self.terminate(fault.target),
+            FaultKind.KILL: self._kill,
+            FaultKind.PAUSE: self._pause,
+            FaultKind.RELOAD: self._reload,
+            FaultKind.SERVER_CRASH: self._crash_servers,
+            FaultKind.SERVER_IDLE_CLOSE: self._close_idle,
+            FaultKind.DRAIN: self._drain,
+            FaultKind.DISCOVERY_SILENT: self._silence_discovery,
+            FaultKind.DISCOVERY_REFUSES: self._refuse_discovery,
+            FaultKind.DISCOVERY_SLOW: self._slow_discovery,
+            FaultKind.DISCOVERY_CUTS: self._cut_discovery,
+            FaultKind.IDLE_CROWD: self._crowd,
+            FaultKind.HALF_REQUESTS: self._half_requests,
+            FaultKind.FLOOD: self._flood,
+            FaultKind.LEAVING: self._leaving,
+            FaultKind.CALLS_FAIL: self._fail_calls,
+            FaultKind.STALL: self._stall,
+            FaultKind.CLOCK_STEP: self._step_clock,
+        }
+        self._handlers = handlers | dict.fromkeys(MODES, self._change_mode)
+
+    async def play(self, fault: PlannedFault) -> None:
+        """One fault, from its beginning to its end."""
+        await asyncio.sleep(fault.at_s)
+        began_s = time.monotonic()
+        await self._handlers[fault.kind](fault)
+        parties = (f"balancer {fault.target}",)
+        self._bed.record.faults.append(FaultRecord(fault.kind.value, parties, began_s, time.monotonic()))
+
+    # -- balancers -------------------------------------------------------------------------------------
+
+    async def terminate(self, number: int, restart: bool = True) -> None:
+        """SIGTERM, and SIGKILL at the earliest moment that the protocol allows."""
+        if number in self._restarting:
+            return
+        self._restarting.add(number)
+        process = self._bed.processes[number]
+        process.send_signal(signal.SIGTERM)
+        told_s = time.monotonic()
+        self._bed.record.stopped_s.setdefault(number, []).append(told_s)
+        await asyncio.sleep(NOTICE_S)
+        self.taken.discard(number)
+        longest_ms = max(SHORTEST_LONGEST_DEADLINE_MS, self._plan.shape.deadline_ms)
+        kill_s = told_s + (longest_ms + KILL_AFTER_MS) / 1000
+        await self._bed.until(lambda: not process.is_running, kill_s - time.monotonic())
+        await self._restart(number, 0.0, restart)
+
+    async def _kill(self, fault: PlannedFault) -> None:
+        if fault.target in self._restarting:
+            return
+        self._restarting.add(fault.target)
+        self._bed.record.killed_s.setdefault(fault.target, []).append(time.monotonic())
+        await self._restart(fault.target, fault.value, True)
+
+    async def _restart(self, number: int, pause_s: float, restart: bool) -> None:
+        process = self._bed.processes[number]
+        process.end()
+        self.taken.discard(number)
+        if not restart:
+            return
+        await asyncio.sleep(pause_s)
+        process.start()
+        await self._bed.until_ready(process)
+        self._restarting.discard(number)
+        self.taken.add(number)
+
+    async def _pause(self, fault: PlannedFault) -> None:
+        process = self._bed.processes[fault.target]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.value)
+        process.send_signal(signal.SIGCONT)
+
+    async def _reload(self, fault: PlannedFault) -> None:
+        """Discovery moves to another address each time."""
+        if fault.target in self._restarting:
+            return
+        bed, number = self._bed, fault.target
+        for _ in range(int(fault.value)):
+            agent = DiscoveryAgent(number, bed.net.next(), bed.directory, bed.record)
+            agent.open()
+            bed.agents.append(agent)
+            process = bed.processes[number]
+            host, port = agent.address
+            process.config["discovery"] = f"{host}:{port}"
+            process.write_config()
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(RELOAD_GAP_S)
+
+    # -- session servers and discovery -----------------------------------------------------------------
+
+    def _some_servers(self, share: float) -> list[SessionServer]:
+        there = [server for name, server in self._bed.servers.items() if name not in self._drained and server.is_up]
+        return self._rng.sample(there, min(len(there), max(1, int(share * len(there) / 2))))
+
+    async def _change_mode(self, fault: PlannedFault) -> None:
+        chosen = self._some_servers(fault.value)
+        for server in chosen:
+            server.set_mode(MODES[fault.kind])
+        await asyncio.sleep(fault.lasts_s)
+        for server in chosen:
+            server.set_mode(ServerMode.SERVES)
+
+    async def _close_idle(self, fault: PlannedFault) -> None:
+        for server in self._some_servers(fault.value):
+            server.idle_s = 0.5
+
+    async def _crash_servers(self, fault: PlannedFault) -> None:
+        chosen = self._some_servers(fault.value)
+        for server in chosen:
+            server.crash()
+        await asyncio.sleep(fault.lasts_s)
+        for server in chosen:
+            if server.name not in self._drained:
+                server.start()
+        names = [server.name for server in chosen if server.name not in self._drained]
+        if names:
+            self._bed.directory.set_status(names, SERVING, since_ms=time.time() * 1000)
+
+    async def _drain(self, fault: PlannedFault) -> None:
+        bed = self._bed
+        chosen = self._some_servers(fault.value)
+        names = [server.name for server in chosen]
+        self._drained.update(names)
+        bed.directory.set_status(names, DRAINING)
+        for _ in chosen[:40]:
+            self._new_servers += 1
+            bed.add_server(f"t-{self._new_servers:08x}", since_ms=time.time() * 1000)
+        await asyncio.sleep(self._plan.shape.drain_grace_ms / 1000 + 7.0)
+        bed.directory.set_status(names, DELETED)
+
+    async def _silence_discovery(self, fault: PlannedFault) -> None:
+        for agent in self._bed.agents:
+            agent.set_silent(True)
+        await asyncio.sleep(fault.lasts_s)
+        for agent in self._bed.agents:
+            agent.set_silent(False)
+
+    async def _refuse_discovery(self, fault: PlannedFault) -> None:
+        for agent in self._bed.agents:
+            agent.refuses = True
+        await asyncio.sleep(fault.lasts_s)
+        for agent in self._bed.agents:
+            agent.refuses = False
+
+    async def _slow_discovery(self, fault: PlannedFault) -> None:
+        for agent in self._bed.agents:
+            agent.slow_s = fault.value
+        await asyncio.sleep(fault.lasts_s)
+        for agent in self._bed.agents:
+            agent.slow_s = 0.0
+
+    async def _cut_discovery(self, fault: PlannedFault) -> None:
+        for agent in self._bed.agents:
+            agent.cuts = int(fault.value)
+
+    # -- clients ---------------------------------------------------------------------------------------
+
+    async def _connections(self, fault: PlannedFault) -> list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+        address = self._bed.processes[fault.target].address
+        found = []
+        for _ in range(int(fault.value)):
+            with contextlib.suppress(OSError):
+                found.append(await asyncio.open_connection(*address))
+        return found
+
+    async def _crowd(self, fault: PlannedFault) -> None:
+        there = await self._connections(fault)
+        await asyncio.sleep(fault.lasts_s)
+        for _, writer in there:
+            cut_off(writer)
+
+    async def _half_requests(self, fault: PlannedFault) -> None:
+        async def stay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            record = HalfRequestRecord(fault.target, time.monotonic())
+            with contextlib.suppress(OSError):
+                writer.write(HALF_LINE)
+                await writer.drain()
+                await reader.read()
+            record.ended_s = time.monotonic()
+            self._bed.record.half_requests.append(record)
+            writer.close()
+
+        await asyncio.gather(*(stay(reader, writer) for reader, writer in await self._connections(fault)))
+
+    async def _flood(self, fault: PlannedFault) -> None:
+        if fault.target in self.taken:
+            for _ in range(int(fault.value)):
+                self._bed.client(fault.target, stays_s=1.0)
+
+    async def _leaving(self, fault: PlannedFault) -> None:
+        if fault.target in self.taken:
+            for _ in range(int(fault.value)):
+                self._bed.client(fault.target, leaves_after_s=self._rng.choice((0.0, 0.001, 0.01, 0.1)))
+
+    # -- the machine -----------------------------------------------------------------------------------
+
+    async def _fail_calls(self, fault: PlannedFault) -> None:
+        if self._call_faults and fault.call is not None:
+            self._call_faults[fault.target].fail(fault.call, fault.value)
+            await asyncio.sleep(fault.lasts_s)
+            self._call_faults[fault.target].fail(fault.call, 0.0)
+
+    async def _stall(self, fault: PlannedFault) -> None:
+        if self._call_faults:
+            self._call_faults[fault.target].stall(fault.value, STALL_MS)
+            await asyncio.sleep(fault.lasts_s)
+            self._call_faults[fault.target].stall(0.0, 0)
+
+    async def _step_clock(self, fault: PlannedFault) -> None:
+        for number, faults in enumerate(self._call_faults):
+            if fault.target in (number, ALL_BALANCERS):
+                faults.step_clock(int(fault.value))
--- a/glenrock/testbed/records.py
+++ b/glenrock/testbed/records.py
@@ -30,6 +30,8 @@
         first_byte_s: the first byte arrived. `whole_s`: the last one did.
         up_s: UP was sent; NEVER where it was not.
         ended_s: the connection ended; NEVER while it is open. `ended_by_server`: by the stand-in itself.
+        answer: the first word that the server wrote; empty where it wrote none.
+        hung_s: the server hung from then on while the connection was open.
     """
 
     request_id: str
@@ -40,6 +42,8 @@
     up_s: float = NEVER
     ended_s: float = NEVER
     ended_by_server: bool = False
+    answer: str = ""
+    hung_s: float = NEVER
 
 
 @dataclass(eq=False)
@@ -102,6 +106,15 @@
     at_s: float
 
 
+@dataclass(eq=False)
+class HalfRequestRecord:
+    """A client that stopped within a request and stayed. `ended_s`: it was answered or closed."""
+
+    balancer: int
+    sent_s: float
+    ended_s: float = NEVER
+
+
 @dataclass
 class RunRecord:
     """All records of a run."""
@@ -111,6 +124,7 @@
     requests: list[RequestRecord] = field(default_factory=list)
     faults: list[FaultRecord] = field(default_factory=list)
     listed: list[ListedRecord] = field(default_factory=list)
+    half_requests: list[HalfRequestRecord] = field(default_factory=list)
     stopped_s: dict[int, list[float]] = field(default_factory=dict)  # balancer: SIGTERMs
     killed_s: dict[int, list[float]] = field(default_factory=dict)  # balancer: SIGKILLs
 
--- a/glenrock/testbed/session_servers.py
+++ b/glenrock/testbed/session_servers.py
@@ -66,6 +66,13 @@
         """Those that have not ended."""
         return list(self._open)
 
+    def set_mode(self, mode: ServerMode) -> None:
+        """Behaves so from now on."""
+        self.mode = mode
+        if mode is ServerMode.HANGS:
+            for attempt in self._open:
+                attempt.hung_s = min(attempt.hung_s, time.monotonic())
+
     def start(self) -> None:
         """Its process starts."""
         self._listener.open()
@@ -135,10 +142,12 @@
             return
         if answer := ERROR_ANSWERS.get(self.mode.value):
             record.ended_by_server = True
+            record.answer = answer.decode().strip()
             writer.write(answer)
             await writer.drain()
             return
         record.up_s = time.monotonic()
+        record.answer = "UP"
         writer.write(f"UP {self.name}-{record.request_id}\r\n".encode())
         while line := await reader.readline():
             if self.hangs:
--- /dev/null
+++ b/glenrock/testbed/soak.py
@@ -0,0 +1,192 @@
+"""Soak runs: a plan drawn from a seed is played on real processes, judged, and shrunk where it fails."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import uvloop
+
+from .balancer_process import ROOT
+from .bed import Testbed
+from .call_faults import CallFaults, NoCompilerError, build
+from .clients import Client
+from .fault_player import FaultPlayer
+from .fault_schedule import PlannedFault, SoakPlan, draw
+from .invariants import Breach, Judge
+
+END_S = 12.0  # for the last clients after the shutdown
+MAX_RUN_S = 90.0
+BAD_LOG_LINES = ("Traceback", "module: failed", "execution: ", "connection: ", "an actor ended")
+LOG_LINES_SHOWN = 6
+RESTING_SHARE, RETURN_S = 0.25, 0.05
+
+
+@dataclass
+class SoakResult:
+    """What came of a run. `partial`: why it was not played to its end; empty where it was."""
+
+    plan: SoakPlan
+    breaches: list[Breach] = field(default_factory=list)
+    log_lines: dict[int, list[str]] = field(default_factory=dict)
+    answers: Counter[str] = field(default_factory=Counter)
+    partial: str = ""
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether it was played whole and no rule was broken."""
+        return not self.breaches and not self.partial
+
+    def text(self) -> str:
+        """A line for a clean run; the first breaches, the plan and the log for another."""
+        shape = self.plan.shape
+        head = (
+            f"seed {self.plan.seed}: {shape.balancers} balancers, {shape.servers} servers, "
+            f"{shape.descriptors} descriptors, d {shape.deadline_ms:.0f} ms, {shape.effect}, "
+            f"{len(self.plan.faults)} faults; "
+            + ", ".join(f"{count} {answer}" for answer, count in sorted(self.answers.items()))
+        )
+        if self.is_clean:
+            return f"{head}; clean"
+        lines = [f"{head}; {len(self.breaches)} breaches {self.partial}".rstrip()]
+        lines += [f"  {one.rule} at balancer {one.balancer}, {one.request_id}: {one.text}" for one in self.breaches[:8]]
+        lines += [f"  fault: {fault.text()}" for fault in self.plan.faults]
+        for number, log_lines in self.log_lines.items():
+            lines += [f"  log of {number}: {line}" for line in log_lines[-LOG_LINES_SHOWN:]]
+        return "\n".join(lines)
+
+
+class SoakRun:
+    """One run of a plan."""
+
+    def __init__(self, plan: SoakPlan, source: Path) -> None:
+        self._plan = plan
+        self._rng = random.Random(plan.seed + 2)  # noqa: S311 - draws need be repeatable, not secret
+        self._bed = Testbed(plan.shape, source=source)
+        self._result = SoakResult(plan)
+        self._traffic: set[asyncio.Task[None]] = set()
+
+    async def play(self) -> SoakResult:
+        """Plays and judges it."""
+        async with self._bed as bed:
+            call_faults = self._call_faults()
+            await bed.start_balancers()
+            player = FaultPlayer(bed, self._plan, call_faults)
+            await self._play_faults(player)
+            for faults in call_faults:
+                faults.close()
+            self._judge()
+        return self._result
+
+    def _call_faults(self) -> list[CallFaults]:
+        try:
+            build()
+        except NoCompilerError:
+            return []
+        return [self._bed.call_faults(number, self._plan.seed) for number in range(self._plan.shape.balancers)]
+
+    async def _play_faults(self, player: FaultPlayer) -> None:
+        names = list(self._bed.servers)
+        for number in range(self._plan.shape.balancers):
+            for _ in range(self._plan.standing):
+                self._bed.client(number, standing_at=self._rng.choice(names), stays_s=60.0)
+        faults = [asyncio.create_task(player.play(fault)) for fault in self._plan.faults]
+        await self._send_requests(player)
+        await self._shut_down(player)
+        for task in faults:
+            task.cancel()
+        for task in self._traffic:
+            task.cancel()
+        outcomes = await asyncio.gather(*faults, *self._traffic, return_exceptions=True)
+        failed = [one for one in outcomes if isinstance(one, Exception)]
+        if failed:
+            self._result.partial = f"partial: {failed[0]!r}"
+
+    async def _send_requests(self, player: FaultPlayer) -> None:
+        until_s = time.monotonic() + self._plan.seconds
+        while time.monotonic() < until_s:
+            if player.taken:
+                number = self._rng.choice(sorted(player.taken))
+                task = asyncio.create_task(self._follow(number, player))
+                self._traffic.add(task)
+                task.add_done_callback(self._traffic.discard)
+            await asyncio.sleep(self._rng.expovariate(self._plan.requests_per_s))
+
+    async def _follow(self, number: int, player: FaultPlayer) -> None:
+        """A client that comes again when it is moved or cut off, until it has had enough."""
+        rests_s = self._rng.uniform(0.1, 6.0) if self._rng.random() < RESTING_SHARE else None
+        stays_until_s = time.monotonic() + self._rng.uniform(0.2, 12.0)
+        returns = False
+        while True:
+            left_s = max(0.1, stays_until_s - time.monotonic())
+            client = self._bed.client(number, stays_s=left_s, pings_first=rests_s, returns=returns)
+            await self._until_ended(client)
+            request = client.request
+            if not (request.is_up and (request.moved or request.left_s > 1e9)) or time.monotonic() > stays_until_s:
+                return
+            await asyncio.sleep(RETURN_S)
+            if not player.taken:
+                return
+            number, rests_s, returns = self._rng.choice(sorted(player.taken)), None, True
+
+    async def _until_ended(self, client: Client) -> None:
+        await client.ended.wait()
+
+    async def _shut_down(self, player: FaultPlayer) -> None:
+        """All at once, while clients go on using their connections."""
+        numbers = range(self._plan.shape.balancers)
+        await asyncio.gather(*(player.terminate(number, restart=False) for number in numbers))
+        await self._bed.until(lambda: not any(one.is_running for one in self._bed.processes), END_S)
+
+    def _judge(self) -> None:
+        record, result = self._bed.record, self._result
+        result.breaches = Judge(record, self._plan.shape).breaches()
+        result.answers = Counter(request.answer.split(" ")[0] or "none" for request in record.requests)
+        for process in self._bed.processes:
+            lines = process.log_lines()
+            bad = [line for line in lines if any(text in line for text in BAD_LOG_LINES)]
+            if bad:
+                result.breaches.append(Breach("crash", 0.0, f"log: {bad[0]}", "", process.number))
+            if any(breach.balancer == process.number for breach in result.breaches):
+                result.log_lines[process.number] = lines
+
+
+def run(plan: SoakPlan, source: Path = ROOT) -> SoakResult:
+    """Plays one plan on a loop of its own."""
+
+    async def play() -> SoakResult:
+        soak = SoakRun(plan, source)
+        try:
+            return await asyncio.wait_for(soak.play(), MAX_RUN_S)
+        except (TimeoutError, OSError) as error:
+            return SoakResult(plan, partial=f"partial: {error!r}")
+
+    return uvloop.run(play())
+
+
+def run_seed(seed: int, seconds: float = 10.0, source: Path = ROOT) -> SoakResult:
+    """Draws the plan of a seed and plays it."""
+    return run(draw(seed, seconds), source)
+
+
+def shrink(result: SoakResult, source: Path, tell: Callable[[str], None]) -> SoakResult:
+    """Leaves out each fault in turn, and keeps it out where the run still fails by the same rule."""
+    rules = {breach.rule for breach in result.breaches}
+    smallest = result
+    for fault in result.plan.faults:
+        plan = smallest.plan.without(fault)
+        again = run(plan, source)
+        still = bool(rules & {breach.rule for breach in again.breaches})
+        tell(f"without {_name(fault)}: {'still fails' if still else 'clean'}")
+        if still:
+            smallest = again
+    return smallest
+
+
+def _name(fault: PlannedFault) -> str:
+    return fault.text().strip()
