Give a slow list up for its silence and not for its length, and let standing clients wait for it

Cause: the whole of an answer had to come within 0.4 s of an agent's (2.5 s of a service's) patience; a list of 500 KB from a slow discovery was broken off and asked for again for ever. Meanwhile a standing connection's server was in no list, and its client was told ERR after 2 s: lost. Ruled out: the size (4 MiB are taken) and the parser. Change: the first bytes are awaited as before, each further piece 0.4 s, the whole 30 s. While no list was heard a name that is not known may still come, and its client waits as others do. Soak: services that are polled, groups, lines in two pieces, servers that end their connections. Figures: a first list that takes 1.5 s and 4 s beside 3,200 names: standing and new clients up. Each of the two mends taken out: red.

--- a/glenrock/net/client_connection.py
+++ b/glenrock/net/client_connection.py
@@ -248,7 +248,9 @@
 
     async def _retry_standing(self, standing_at: str) -> bool:
         """False where it has been tried long enough."""
-        wait_ms = STANDING_MS if self._owner.servers.knows(standing_at) else UNKNOWN_SERVER_MS
+        servers = self._owner.servers
+        may_come = servers.knows(standing_at) or not servers.has_list
+        wait_ms = STANDING_MS if may_come else UNKNOWN_SERVER_MS
         if self.clock.now() > self._arrived_ms + wait_ms:
             say("standing", f"{self.opened.id} did not come up at {standing_at}: failed")
             await self._answer(protocol.FAILED, "failed")
--- a/glenrock/net/endpoint_watcher.py
+++ b/glenrock/net/endpoint_watcher.py
@@ -28,6 +28,8 @@
 SOON_MS = 50.0  # the next call is due within 200 ms of an answer
 OLDER_TIMES = 4  # an older whole list is believed when told this often in a row
 MAX_ANSWER_BYTES = 4 << 20
+MAX_SILENCE_MS = 400.0  # an answer that has begun and brings nothing for so long is given up
+MAX_ANSWER_MS = 30_000.0  # and one that has not come whole by then
 READ_BYTES = 16384
 NO_VERSION = -1
 
@@ -218,7 +220,7 @@
         query = f"?index={self._version}&wait={watch_ms:.0f}" if self._version is not None else ""
         began_ms = self._clock.now()
         grace_ms = NO_LIST_GRACE_MS if self.has_no_list else self.pace.grace_ms
-        raw = await self._within(watch_ms + grace_ms, self._get(f"/discovery/hosts{query}"))
+        raw = await self._get(f"/discovery/hosts{query}", watch_ms + grace_ms)
         news = news_of(raw)
         self._check(news)
         # The version is taken only with its rows, and the next call follows at once: within 200 ms it continues the
@@ -248,9 +250,8 @@
         self.newest = news.version
         self._older = 0
 
-    async def _get(self, path: str) -> Any:
-        sock = await self._connected()
-        answer = await self._exchange(sock, path)
+    async def _get(self, path: str, patience_ms: float) -> Any:
+        answer = await self._exchange(path, patience_ms)
         if not answer.keep:
             self._hang_up()
         status = answer.parser.get_status_code()
@@ -268,21 +269,37 @@
             await asyncio.get_running_loop().sock_connect(self._sock, self.address)
         return self._sock
 
-    async def _exchange(self, sock: socket.socket, path: str) -> HttpAnswer:
-        loop = asyncio.get_running_loop()
-        host = f"{self.address[0]}:{self.address[1]}"
-        await loop.sock_sendall(sock, f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+    async def _exchange(self, path: str, patience_ms: float) -> HttpAnswer:
+        """The answer; its first bytes are awaited that long.
+
+        A list of thousands of servers takes its time from a slow discovery. So behind its first bytes only a silence
+        gives the answer up, and not its length: called again, all that has come would come again.
+        """
         answer = HttpAnswer()
         buffer = bytearray(READ_BYTES)
+        until_ms = self._clock.now() + MAX_ANSWER_MS
+        await self._within(patience_ms, self._ask(path, answer, buffer))
         while not answer.whole:
-            count = await loop.sock_recv_into(sock, buffer)
-            if not count:
-                raise DiscoveryError("discovery closed the connection")
-            answer.parser.feed_data(bytes(buffer[:count]))
-            if len(answer.body) > MAX_ANSWER_BYTES:
-                raise DiscoveryError("the answer is too large")
+            left_ms = min(MAX_SILENCE_MS, until_ms - self._clock.now())
+            await self._within(left_ms, self._read_some(answer, buffer))
         return answer
 
+    async def _ask(self, path: str, answer: HttpAnswer, buffer: bytearray) -> None:
+        sock = await self._connected()
+        host = f"{self.address[0]}:{self.address[1]}"
+        request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+        await asyncio.get_running_loop().sock_sendall(sock, request)
+        await self._read_some(answer, buffer)
+
+    async def _read_some(self, answer: HttpAnswer, buffer: bytearray) -> None:
+        assert self._sock is not None, "the call has a connection"
+        count = await asyncio.get_running_loop().sock_recv_into(self._sock, buffer)
+        if not count:
+            raise DiscoveryError("discovery closed the connection")
+        answer.parser.feed_data(bytes(buffer[:count]))
+        if len(answer.body) > MAX_ANSWER_BYTES:
+            raise DiscoveryError("the answer is too large")
+
     def _hang_up(self) -> None:
         if self._sock:
             close_socket(self._sock)
--- a/glenrock/net/server_connections.py
+++ b/glenrock/net/server_connections.py
@@ -28,6 +28,7 @@
     Attributes:
         rows: of the endpoint list by name; those that are gone too, while there is room.
         actors: by name, of the servers that have work or had some lately.
+        has_list: discovery has told a list, so that a name that is not in it is no server's.
         out: out of rotation by operators, listed or not.
         post: takes events for the routing actor.
     """
@@ -43,6 +44,7 @@
     ) -> None:
         self.rows: dict[str, EndpointRow] = {}
         self.actors: dict[str, ServerActor] = {}
+        self.has_list = False
         self.out: set[str] = set()
         self.post = post
         self.dial_ms = dial_ms
@@ -101,6 +103,7 @@
         for row in rows:
             self._update_one(row)
         self._budget.servers = len(self.rows)
+        self.has_list = self.has_list or kind == "full"
         kept = [row for row in rows if row.name in self.rows]
         started_ms = self._start_times.take(kept)
         endpoints = tuple(_endpoint_of(row, at_ms) for row, at_ms in zip(kept, started_ms, strict=True))
--- a/glenrock/testbed/bed.py
+++ b/glenrock/testbed/bed.py
@@ -40,6 +40,8 @@
         drain_grace_ms: after which nothing goes to a draining server.
         max_attempts: of a request.
         health_checks: balancers may ask servers for their load.
+        must_poll: discovery is one service for all, and not an agent on the balancer's machine.
+        groups: clients belong to so many groups; 0: to none.
     """
 
     balancers: int = 1
@@ -51,6 +53,8 @@
     drain_grace_ms: float = 2500.0
     max_attempts: int = 4
     health_checks: bool = True
+    must_poll: bool = False
+    groups: int = 0
 
 
 def settings_of(shape: BedShape, number: int) -> dict[str, Any]:
@@ -76,7 +80,7 @@
             "maxRetryAfterUs": 1_000_000,
             "dialTimeoutUs": 200_000,
         },
-        "registryMode": "push",
+        "registryMode": "ask" if shape.must_poll else "push",
         "classes": [request_class],
         "obligations": {
             "drainGraceUs": int(shape.drain_grace_ms * 1000),
@@ -213,6 +217,8 @@
             "deadline_ms": self.shape.deadline_ms,
             "effect": self.shape.effect,
         }
+        if self.shape.groups:
+            values["group"] = number % self.shape.groups + 1
         client = Client(ClientPlan(balancer, **(values | plan)), self.processes[balancer].address, self.record)
         task = asyncio.get_running_loop().create_task(client.run())
         self._clients.add(task)
--- a/glenrock/testbed/clients.py
+++ b/glenrock/testbed/clients.py
@@ -27,6 +27,7 @@
         stays_s: it closes so long after UP.
         line_every_s: it sends a line so often while it is up.
         standing_at: the server that it stood at before.
+        group: that it belongs to; 0 for none.
         returns: it comes back after a move or a break.
         pings_first: it asks PING first, and rests so long before its request.
         leaves_after_s: it closes before its answer; None: it waits.
@@ -41,6 +42,7 @@
     line_every_s: float = 0.5
     effect: str = "safe"
     standing_at: str = ""
+    group: int = 0
     returns: bool = False
     pings_first: float | None = None
     leaves_after_s: float | None = None
@@ -48,6 +50,8 @@
     def line(self) -> bytes:
         """The first line."""
         fields = [f"c={self.service}", f"d={self.deadline_ms:.0f}"]
+        if self.group:
+            fields.append(f"g={self.group:x}")
         if self.returns:
             fields.append("again=1")
         if self.standing_at:
@@ -171,6 +175,8 @@
         while line := await reader.readline():
             if line == b"MOVE\r\n":
                 request.moved = True
+            elif line == b"BYE\r\n":
+                continue
             elif line == expected:
                 request.last_line_s = time.monotonic()
             else:
--- a/glenrock/testbed/fault_player.py
+++ b/glenrock/testbed/fault_player.py
@@ -55,6 +55,8 @@
             FaultKind.RELOAD: self._reload,
             FaultKind.SERVER_CRASH: self._crash_servers,
             FaultKind.SERVER_IDLE_CLOSE: self._close_idle,
+            FaultKind.SERVER_PIECES: self._write_in_pieces,
+            FaultKind.SERVER_ENDS: self._end_connections,
             FaultKind.DRAIN: self._drain,
             FaultKind.DISCOVERY_SILENT: self._silence_discovery,
             FaultKind.DISCOVERY_REFUSES: self._refuse_discovery,
@@ -155,6 +157,14 @@
         for server in self._some_servers(fault.value):
             server.idle_s = 0.5
 
+    async def _write_in_pieces(self, fault: PlannedFault) -> None:
+        for server in self._some_servers(fault.value):
+            server.piece_gap_s = 0.05
+
+    async def _end_connections(self, fault: PlannedFault) -> None:
+        for server in self._some_servers(fault.value):
+            server.end_all()
+
     async def _crash_servers(self, fault: PlannedFault) -> None:
         chosen = self._some_servers(fault.value)
         for server in chosen:
--- a/glenrock/testbed/fault_schedule.py
+++ b/glenrock/testbed/fault_schedule.py
@@ -28,6 +28,8 @@
     SERVER_BUSY = "server busy"
     SERVER_RESETS = "server resets"
     SERVER_IDLE_CLOSE = "server idle close"
+    SERVER_PIECES = "server pieces"  # its lines come in two pieces
+    SERVER_ENDS = "server ends"  # it says BYE to those that stand there, and ends their connections
     DRAIN = "drain"  # share `value` of the servers: draining, later deleted and stopped; as many new ones
     DISCOVERY_SILENT = "discovery silent"  # at all balancers
     DISCOVERY_REFUSES = "discovery refuses"
@@ -103,6 +105,8 @@
         drain_grace_ms=rng.choice((2500.0, 4000.0, 6000.0)),
         max_attempts=rng.choice((1, 2, 4, 5)),
         health_checks=rng.random() < 0.8,
+        must_poll=rng.random() < 0.3,
+        groups=rng.choice((0, 0, 5, 40)),
     )
     faults = [_draw_fault(rng, balancers, seconds) for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS))]
     faults.sort(key=lambda fault: fault.at_s)
--- a/glenrock/testbed/session_servers.py
+++ b/glenrock/testbed/session_servers.py
@@ -7,7 +7,7 @@
 from enum import Enum
 
 from ..stage.net import Address, Listener, cut_off
-from .records import AttemptRecord, RunRecord
+from .records import NEVER, AttemptRecord, RunRecord
 
 REPORT = b"PONG util=0.30,queue=0,x0=0.30\r\n"
 ERROR_ANSWERS = {"errors": b"ERR\r\n", "busy": b"BUSY\r\n"}
@@ -30,6 +30,7 @@
         name: as the list tells it.
         mode: how it behaves now.
         setup_s: it answers a first line so long after it came.
+        piece_gap_s: a line is written in two pieces so far apart; 0: whole.
         idle_s: it closes a connection for health checks that has been idle so long; None: it keeps them.
         connections_taken: of all kinds. `health_checks`: questions answered.
     """
@@ -39,6 +40,7 @@
         self.mode = ServerMode.SERVES
         self.setup_s = 0.0
         self.idle_s: float | None = None
+        self.piece_gap_s = 0.0
         self.connections_taken = 0
         self.health_checks = 0
         self._record = record
@@ -86,6 +88,16 @@
         for writer in list(self._writers):
             cut_off(writer)
 
+    def end_all(self) -> None:
+        """Serves all that stand there to their end; not while a line of it is under way in pieces."""
+        if self.piece_gap_s:
+            return
+        for record, writer in self._open.items():
+            if record.up_s < NEVER and not self.hangs:
+                record.ended_by_server = True
+                writer.write(b"BYE\r\n")
+                writer.write_eof()
+
     def close(self) -> None:
         """The end of the run."""
         self._listener.close()
@@ -148,9 +160,16 @@
             return
         record.up_s = time.monotonic()
         record.answer = "UP"
-        writer.write(f"UP {self.name}-{record.request_id}\r\n".encode())
+        await self._write_line(writer, f"UP {self.name}-{record.request_id}\r\n".encode())
         while line := await reader.readline():
-            if self.hangs:
-                continue
-            writer.write(line)
+            if not self.hangs and not record.ended_by_server:
+                await self._write_line(writer, line)
+
+    async def _write_line(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+        if self.piece_gap_s:
+            writer.write(line[:-3])
             await writer.drain()
+            await asyncio.sleep(self.piece_gap_s)
+            line = line[-3:]
+        writer.write(line)
+        await writer.drain()
--- a/tests/test_fleet_of_thousands.py
+++ b/tests/test_fleet_of_thousands.py
@@ -105,3 +105,19 @@
         assert late and not any(one.server in names[: THOUSANDS // 2] for one in late)
 
     played(512, story)
+
+
+@pytest.mark.parametrize("takes_s", (1.5, 4.0))
+def test_a_first_list_that_takes_seconds_is_heard_and_what_stood_comes_up(takes_s: float) -> None:
+    async def story(bed: Testbed) -> None:
+        bed.agents[0].slow_s = takes_s
+        process, names = bed.processes[0], list(bed.servers)
+        process.end()
+        process.start()
+        await bed.until_ready(process)
+        standing = [bed.client(0, standing_at=names[n * 97 % THOUSANDS]) for n in range(10)]
+        assert await bed.until(lambda: all(client.up.is_set() for client in standing), takes_s + 3.0)
+        clients = [bed.client(0) for _ in range(10)]
+        assert await bed.until(lambda: all(client.up.is_set() for client in clients), 3.0)
+
+    played(512, story)
