--- a/glenrock/testbed/fault_schedule.py
+++ b/glenrock/testbed/fault_schedule.py
@@ -12,6 +12,7 @@
 
 MAX_FAULTS, MIN_FAULTS = 14, 6
 SETTLE_S = 1.0  # before the first fault
+TO_THE_END, TO_THE_END_S = 0.15, 60.0  # so many faults last through the shutdown
 QUIET_END_S = 2.0  # before the final shutdown no fault begins
 
 
@@ -94,7 +95,7 @@
 def draw(seed: int, seconds: float = 10.0) -> SoakPlan:
     """The plan of a seed."""
     rng = random.Random(seed)  # noqa: S311 - draws need be repeatable, not secret
-    balancers = rng.choice((3, 3, 4, 5, 6, 8, 12))
+    balancers = rng.choice((1, 2, 3, 3, 4, 5, 6, 8, 12))
     shape = BedShape(
         balancers=balancers,
         servers=rng.choice((10, 20, 60, 200, 800, 3200)),
@@ -135,7 +136,7 @@
     kind = rng.choice(tuple(FaultKind))
     at_s = rng.uniform(SETTLE_S, seconds - QUIET_END_S)
     target = rng.randrange(balancers)
-    lasts_s = rng.uniform(0.3, 5.0)
+    lasts_s = TO_THE_END_S if rng.random() < TO_THE_END else rng.uniform(0.3, 5.0)
     value = _VALUES[kind](rng) if kind in _VALUES else rng.choice(_SHARES)
     call = rng.choice(CALL_KINDS) if kind is FaultKind.CALLS_FAIL else None
     if kind is FaultKind.CLOCK_STEP:
--- a/glenrock/testbed/soak.py
+++ b/glenrock/testbed/soak.py
@@ -25,6 +25,8 @@
 BAD_LOG_LINES = ("Traceback", "module: failed", "execution: ", "connection: ", "an actor ended")
 LOG_LINES_SHOWN = 6
 RESTING_SHARE, RETURN_S = 0.25, 0.05
+CROSSING_SHARE, IDLE_S, CROSSING_S = 0.1, 10.0, 0.02  # requests sent just as the balancer ends a resting connection
+HURRIED_SHARE, SHORTEST_MS, HURRIED_MS = 0.1, 5.0, 100.0  # requests with very little time left
 
 
 @dataclass
@@ -119,12 +121,17 @@
 
     async def _follow(self, number: int, player: FaultPlayer) -> None:
         """A client that comes again when it is moved or cut off, until it has had enough."""
-        rests_s = self._rng.uniform(0.1, 6.0) if self._rng.random() < RESTING_SHARE else None
+        rests_s = self._draw_rest()
+        deadline_ms = self._plan.shape.deadline_ms
+        if self._rng.random() < HURRIED_SHARE:
+            deadline_ms = self._rng.uniform(SHORTEST_MS, HURRIED_MS)
         stays_until_s = time.monotonic() + self._rng.uniform(0.2, 12.0)
         returns = False
         while True:
             left_s = max(0.1, stays_until_s - time.monotonic())
-            client = self._bed.client(number, stays_s=left_s, pings_first=rests_s, returns=returns)
+            client = self._bed.client(
+                number, stays_s=left_s, pings_first=rests_s, returns=returns, deadline_ms=deadline_ms
+            )
             await self._until_ended(client)
             request = client.request
             if not (request.is_up and (request.moved or request.left_s > 1e9)) or time.monotonic() > stays_until_s:
@@ -134,6 +141,12 @@
                 return
             number, rests_s, returns = self._rng.choice(sorted(player.taken)), None, True
 
+    def _draw_rest(self) -> float | None:
+        draw = self._rng.random()
+        if draw < CROSSING_SHARE:
+            return IDLE_S + self._rng.uniform(-CROSSING_S, CROSSING_S)
+        return self._rng.uniform(0.1, 6.0) if draw < RESTING_SHARE else None
+
     async def _until_ended(self, client: Client) -> None:
         await client.ended.wait()
 
