--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -34,7 +34,6 @@
 LB_VARIABLE_PREFIX = "LB_"
 DEADLINE_MS = {"entry-lookup": 1800, "index-browse": 1200, "level-watch": 2000}
 LONGEST_RUN_S = 115.0
-GRACE_S = 2.55  # drainGraceUs, and the 50 ms of the page on sockets
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None)
 
@@ -92,6 +91,7 @@
         name: as discovery lists it.
         status: as discovery lists it.
         opened: for each request that arrived, the time of its first byte and its id.
+        since_ms: when its process started, as discovery lists it.
         drains_since_s: since when it completes what it holds and turns new requests away; None if it does not.
     """
 
@@ -100,6 +100,7 @@
         self.status = "SERVING"
         self.opened: list[tuple[float, str]] = []
         self.drains_since_s: float | None = None
+        self.since_ms = 0
         self.port = 0
         self._record = record
         self._listener: asyncio.Server | None = None
@@ -139,7 +140,7 @@
             "group": 0,
             "status": self.status,
             "weight": 1.0,
-            "since_ms": 0,
+            "since_ms": self.since_ms,
         }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -192,12 +193,15 @@
 
     Attributes:
         is_down: every call is answered 503 then, and watches end, as where discovery is asked (the users' PROTOCOL).
+        can_answer: cleared while an agent is silent: no call is answered before it is set again (PROTOCOL).
     """
 
     def __init__(self, servers: list[Server], record: Record) -> None:
         self.port = 0
         self.index = 1
         self.is_down = False
+        self.can_answer = asyncio.Event()
+        self.can_answer.set()
         self._servers = servers
         self._record = record
         self._changed_at: dict[str, int] = {}
@@ -246,6 +250,7 @@
                     pass
                 path = line.split(b" ")[1].decode()
                 status, body = await self._answer(path)
+                await self.can_answer.wait()
                 data = json.dumps(body).encode() if body else b""
                 self._record.write("discovery", f"{path} from {writer.get_extra_info('peername')[1]}: {status}")
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
@@ -401,11 +406,6 @@
             self._record.write(self.name, f"{method} {path}: {status} {body.strip()}")
         return status, body
 
-    async def view(self) -> dict[str, Any]:
-        """Returns `GET /v1/fleet`; empty if there was no answer."""
-        status, body = await self.call("GET", "/v1/fleet")
-        return json.loads(body) if status == 200 else {}
-
     async def wait_ready(self) -> None:
         """Waits for `readyz`. Raises CannotRunError."""
 
@@ -590,10 +590,8 @@
     return servers, discovery
 
 
-def build_fleet(
-    case: Case, count: int, discovery: Discovery, fleet_file: Path | None = None, **settings: Any
-) -> list[Balancer]:
-    """Builds balancers that exchange datagrams, with one coordination file or none, and with these settings."""
+def build_fleet(case: Case, count: int, discovery: Discovery, **settings: Any) -> list[Balancer]:
+    """Builds balancers that exchange datagrams, with these settings."""
     peer_ports = [free_port(socket.SOCK_DGRAM) for _ in range(count)]
     peers = [f"{HOST}:{port}" for port in peer_ports]
     for slot in range(count):
@@ -604,54 +602,10 @@
             "peer_listen": peers[slot],
             "peers": peers,
         }
-        if fleet_file:
-            config["fleet"] = str(fleet_file)
         case.balancers.append(Balancer(f"n{slot + 1}", case.folder, config, case.record))
     return case.balancers
 
 
-def write_fleet_file(case: Case) -> Path:
-    """Writes a coordination file like `deploy/fleet.toml`, with its lease and `bans` only. Returns its path."""
-    folder = case.folder / "kept"
-    folder.mkdir()
-    path = case.folder / "fleet.toml"
-    path.write_text(
-        f'folder = "{folder}"\n[store]\nkind = "sqlite"\npath = "{case.folder / "owner.db"}"\n'
-        f"[lease]\nlease_ms = 10000\ndrift = 0.01\nask_ms = 2000\n[jobs]\nbans = true\n"
-    )
-    return path
-
-
-async def start_fleet(balancers: list[Balancer]) -> None:
-    """Starts the balancers, and waits until all are ready and one holds the lease of the overrides.
-
-    Raises:
-        CannotRunError: one is not ready.
-    """
-    for balancer in balancers:
-        balancer.start()
-    for balancer in balancers:
-        await balancer.wait_ready()
-    await wait_for(lambda: find_holder(balancers), 20.0)
-
-
-async def find_holder(balancers: list[Balancer]) -> Balancer | None:
-    """Returns the balancer that holds the lease of the overrides; None if there is none."""
-    for balancer in balancers:
-        view = await balancer.view()
-        if view.get("jobs", {}).get("bans", {}).get("state") == "owner":
-            return balancer
-    return None
-
-
-async def suspend(case: Case, balancer: Balancer, server: str) -> None:
-    """Makes the operator's call that suspends a server. Raises CannotRunError if it is rejected."""
-    status, _ = await balancer.call("POST", f"/v1/session-servers/{server}/suspend")
-    case.record.say(f"suspend {server} at {balancer.name}: {status}")
-    if status not in (200, 202):
-        raise CannotRunError(f"suspend was answered {status}")
-
-
 async def open_clients(
     case: Case, balancer: Balancer, count: int, interval_s: float = 0.1, class_name: str = "entry-lookup"
 ) -> list[Client]:
