--- a/review/2/case.py
+++ b/review/2/case.py
@@ -85,7 +85,7 @@
 async def play(case: Case) -> int:
     """Plays the case. Returns the exit code."""
     servers, discovery = await start_servers(case, SERVERS)
-    balancers = build_fleet(case, BALANCERS, discovery, None, **SETTINGS)
+    balancers = build_fleet(case, BALANCERS, discovery, **SETTINGS)
     for balancer in balancers:
         balancer.start()
     for balancer in balancers:
