Review: case 9 becomes case 10, and discovery moves to the stand-ins

The shared discovery and the load of case 8 move to review/stand_ins_2.py, since that case uses them too.

--- a/review/9/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 test -x .venv/bin/python || exit 2
-exec .venv/bin/python -B review/9/case.py
+exec .venv/bin/python -B review/10/case.py
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -23,7 +23,7 @@
 import traceback
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
@@ -33,6 +33,7 @@
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None)
 NO_ANSWER = "no answer"
+WATCH_GAP_S = 0.2  # a watch goes on if the next call comes within 200 ms of the last answer
 PROTOCOL_SLACK_S = 0.05  # "each time limit longer by 50 ms"
 
 
@@ -231,12 +232,19 @@
             return None, 0.0
         return int(values["index"]), float(values.get("wait", "0")) / 1000
 
-    async def answer(self, status: int, content: dict[str, Any] | None = None) -> None:
-        """Writes an answer."""
+    async def answer(self, status: int, content: dict[str, Any] | None = None, pause_s: float = 0.0) -> None:
+        """Writes an answer; with `pause_s` in two pieces, with so much time between them."""
         body = json.dumps(content).encode() if content is not None else b""
         reason = "OK" if status == 200 else "Service Unavailable"
         head = f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-        self._writer.write(head.encode() + body)
+        data = head.encode() + body
+        if pause_s:
+            half = len(data) // 2
+            self._writer.write(data[:half])
+            await self._writer.drain()
+            await asyncio.sleep(pause_s)
+            data = data[half:]
+        self._writer.write(data)
         await self._writer.drain()
 
 
@@ -293,6 +301,115 @@
             self.told_s.setdefault(name, self._record.now())
 
 
+class Rejection(NamedTuple):
+    """A call to discovery that was answered 503."""
+
+    balancer: int
+    began_s: float
+    ended_s: float
+
+
+class SharedDiscovery:
+    """One service for all balancers, which works through calls in turn.
+
+    While it is down it serves no call: a call ends with 503 once it has waited for `timeout_s`. Watches end with 503
+    when it goes down.
+
+    Attributes:
+        pause_s: an answer comes in two pieces, with this time between them; 0 for one piece.
+        told_s: when each balancer was first sent a row of a draining session server, by the balancer's number.
+        rejections: of each call that was answered 503, the balancer, and when it began and ended.
+        watching: the numbers of the balancers with an open watch.
+    """
+
+    def __init__(self, endpoints: EndpointList, record: Record, call_s: float, timeout_s: float) -> None:
+        self.pause_s = 0.0
+        self.told_s: dict[int, float] = {}
+        self.rejections: list[Rejection] = []
+        self.watching: set[int] = set()
+        self._is_down = False
+        self._endpoints = endpoints
+        self._record = record
+        self._call_s = call_s
+        self._timeout_s = timeout_s
+        self._serving = asyncio.Lock()
+
+    async def listen(self, balancer: int) -> str:
+        """Returns the address at which a balancer reaches the service."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._serve(balancer, reader, writer)
+
+        listener = await asyncio.start_server(serve, HOST, 0)
+        return f"{HOST}:{listener.sockets[0].getsockname()[1]}"
+
+    async def set_down(self, is_down: bool) -> None:
+        """Begins or ends the outage."""
+        async with self._endpoints.changed:
+            self._is_down = is_down
+            self._record.add("discovery", "is down" if is_down else "serves again")
+            self._endpoints.changed.notify_all()
+
+    async def _serve(self, balancer: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = HttpConnection(reader, writer)
+        answered_s = -1.0
+        try:
+            with contextlib.suppress(OSError):
+                while call := await connection.read_call():
+                    continues = self._record.now() - answered_s < WATCH_GAP_S
+                    await self._answer(balancer, connection, *call, continues=continues)
+                    answered_s = self._record.now()
+        finally:
+            self.watching.discard(balancer)
+            writer.close()
+
+    async def _answer(
+        self, balancer: int, connection: HttpConnection, version: int | None, wait_s: float, *, continues: bool
+    ) -> None:
+        began_s = self._record.now()
+        is_served = (continues and version is not None) or await self._take_turn()
+        if is_served and version is not None:
+            is_served = await self._watch(balancer, version, wait_s)
+        if not is_served:
+            self.rejections.append(
+                Rejection(balancer, began_s, self._record.add("discovery", f"answers n{balancer} 503"))
+            )
+            await connection.answer(503, {})
+            return
+        content = self._endpoints.whole() if version is None else self._endpoints.since(version)
+        drains = [row["name"] for row in content["endpoints"] if row["status"] == "DRAINING"]
+        if drains:
+            self._record.add("discovery", f"tells n{balancer} version", content["index"], "draining:", *drains)
+        await connection.answer(200, content, self.pause_s)
+        if drains:
+            self.told_s.setdefault(balancer, self._record.now())
+
+    async def _take_turn(self) -> bool:
+        """Waits until the call is served. Returns False if it has waited too long."""
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                async with self._endpoints.changed:
+                    await self._endpoints.changed.wait_for(lambda: not self._is_down)
+                await self._serving.acquire()
+        except TimeoutError:
+            return False
+        try:
+            await asyncio.sleep(self._call_s)
+        finally:
+            self._serving.release()
+        return True
+
+    async def _watch(self, balancer: int, version: int, wait_s: float) -> bool:
+        """Waits for a newer list. Returns False if discovery goes down."""
+        changed = self._endpoints.changed
+        self.watching.add(balancer)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s), changed:
+                await changed.wait_for(lambda: self._endpoints.version > version or self._is_down)
+        self.watching.discard(balancer)
+        return not self._is_down
+
+
 class Balancer:
     """A balancer process, started with the command of the deploy file."""
 
@@ -486,6 +603,30 @@
                         return
 
 
+class Load:
+    """Clients of all balancers, dealt out in turn."""
+
+    def __init__(self, record: Record, balancers: list[Balancer], interval_s: float) -> None:
+        self.clients: list[Client] = []
+        self.balancer_by_request: dict[str, int] = {}
+        self._record = record
+        self._balancers = balancers
+        self._interval_s = interval_s
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Sends requests until it is cancelled."""
+        while True:
+            for number, balancer in enumerate(self._balancers):
+                client = Client(self._record, "entry-lookup", 1800, life_s=1.5)
+                self.clients.append(client)
+                self.balancer_by_request[client.request_id] = number
+                task = asyncio.create_task(client.run(balancer.name, balancer.address))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+                await asyncio.sleep(self._interval_s)
+
+
 def settings_of(balancers: int, index: int, registry_mode: str, drain_grace_s: float) -> dict[str, Any]:
     """Returns settings like those of the example on the wire page, for a small deployment."""
     return {
