A drain answers with the decision of routing that waits behind it

Cause: a drain asked routing whether a rejection is harmless, and routing said yes for a request that it does not know, meant for one whose event it has not read. It also does not know a request that it has just failed, while the decision (ERR) lies in the connection's mailbox behind the drain.

Change: a connection keeps the decision from the moment it is made, and a drain answers with it. Without one, a request without any attempt is rejected; else routing decides, and says no for a request that it does not know.

--- a/glenrock/net/client_connection.py
+++ b/glenrock/net/client_connection.py
@@ -31,6 +31,7 @@
         super().__init__(owner, sock, request_line)
         self._routing = owner.routing
         self._may_attempt = True
+        self._decision: FinalAnswer | None = None  # of routing; until it is read it waits in the mailbox
 
     # -- calls by the routing actor (RoutedConnection) -------------------------------------------------
 
@@ -48,11 +49,15 @@
 
     def reject(self, retry_after_ms: float, reason: FinalAnswerReason = FinalAnswerReason.ADMISSION) -> None:
         """Rejects the request; the client may retry after `retry_after_ms`."""
-        self.mailbox.put_unbounded(FinalAnswer(protocol.rejection_line(retry_after_ms), reason))
+        self._decide(FinalAnswer(protocol.rejection_line(retry_after_ms), reason))
 
     def fail(self) -> None:
         """Tells the client that its request failed."""
-        self.mailbox.put_unbounded(FinalAnswer(protocol.FAILURE_LINE, FinalAnswerReason.FAILED))
+        self._decide(FinalAnswer(protocol.FAILURE_LINE, FinalAnswerReason.FAILED))
+
+    def _decide(self, decision: FinalAnswer) -> None:
+        self._decision = decision
+        self.mailbox.put_unbounded(decision)
 
     def migrate(self) -> None:
         """Asks the client to migrate, that is to open a new connection."""
@@ -175,15 +180,22 @@
                         return False
 
     async def _drain_waiting_client(self, retry_after_ms: float, resumes_at: str | None) -> None:
-        """Answers a client whose request still waits, because the balancer drains or stops.
+        """Answers a client whose request still waits, because the balancer drains or stops."""
+        answer = self._decision or self._drain_answer(retry_after_ms, resumes_at)
+        self.reports.is_end_known = self.reports.is_end_known or self._decision is not None
+        self.reports.post_disconnected()
+        await self._answer(answer.line, answer.reason)
+
+    def _drain_answer(self, retry_after_ms: float, resumes_at: str | None) -> FinalAnswer:
+        """Returns the answer of a drain to a request that routing has not decided.
 
         A client retries after a rejection, so it gets one only if the request may safely run again; otherwise the
-        request fails.
+        request fails. A request without an attempt may be unknown to routing, since its event still waits there.
         """
-        may_retry = resumes_at is None and self._routing.may_reject(self.request_line.request_id)
-        self.reports.post_disconnected()
+        has_no_attempt = resumes_at is None and self.attempt_number < 0
+        may_retry = has_no_attempt or self._routing.may_reject(self.request_line.request_id)
         line = protocol.rejection_line(retry_after_ms) if may_retry else protocol.FAILURE_LINE
-        await self._answer(line, FinalAnswerReason.DRAINING)
+        return FinalAnswer(line, FinalAnswerReason.DRAINING)
 
     async def _handle_client_end(self, end: RelayEvent, resumes_at: str | None) -> None:
         self._may_attempt = False
--- a/glenrock/routing/balancer.py
+++ b/glenrock/routing/balancer.py
@@ -265,9 +265,9 @@
         return int(request.load) if request else 0
 
     def may_reject(self, request_id: str) -> bool:
-        """Returns whether the request may be rejected; True for a request that is not known yet."""
+        """Returns whether the request may be rejected; False for a request that is not known (any more)."""
         request = self.requests.get(request_id)
-        return request is None or self.retries.may_reject(request)
+        return request is not None and self.retries.may_reject(request)
 
     def count_unavailable(self, server_ids: Iterable[str]) -> int:
         """Returns how many of these servers are suspended, ejected, not ready or not known."""
--- a/tests/net/rig.py
+++ b/tests/net/rig.py
@@ -308,6 +308,11 @@
             balancer.lifecycle.on_client_disconnected(request_id)
             connection.reject(500.0)
 
+    def fail_request(self, connection: ClientConnection) -> None:
+        """Fails a request as routing does: discards it in routing, and posts the failure to its connection."""
+        self.program.routing.balancer.lifecycle.on_client_disconnected(connection.request_line.request_id)
+        connection.fail()
+
     async def check_nothing_was_sent(self) -> None:
         """Checks that no request line was sent to a server, and that the client's connection has ended."""
         await wait_until(lambda: not self.connections and not self.acceptor.tasks)
--- a/tests/net/test_answers_and_decisions.py
+++ b/tests/net/test_answers_and_decisions.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
 from glenrock.net import protocol
 from glenrock.net.attempt_outcomes import AttemptProgress, AttemptResult
+from glenrock.net.client_connection import ClientConnection
 from glenrock.net.connection_attempt import ConnectionAttempt
 from glenrock.net.connection_messages import DrainConnection, MigrateClient
 from glenrock.routing import interface
@@ -141,3 +143,38 @@
     await rig.advance(1600)
     assert read_now(client) == b"ERR\r\n"
     assert sum(len(rig.accept_queued(listener)) for listener in rig.listeners.values()) == 1
+
+
+@pytest.mark.parametrize(
+    ("decide", "answer"), [(LoopbackRig.fail_request, b"ERR\r\n"), (LoopbackRig.reject_request, b"BUSY 500\r\n")]
+)
+async def test_drain_answers_with_the_decision_that_waits_behind_it(
+    rig: LoopbackRig, decide: Callable[[LoopbackRig, ClientConnection], None], answer: bytes
+) -> None:
+    """Guards against BUSY for a request that may have run, when routing fails it as the balancer stops (review/6)."""
+    await rig.open(effect="unsafe")
+    client = rig.connect_client(REQUEST_LINE)
+    await rig.accept_request("s1")
+    connection = rig.connections[REQUEST_ID]
+    connection.mailbox.put_unbounded(DrainConnection(700))
+    decide(rig, connection)
+    assert await read_to_end(client) == (answer, StreamEnd.FIN)
+
+
+async def test_drain_fails_a_request_that_was_sent_and_that_routing_no_longer_knows(rig: LoopbackRig) -> None:
+    """Guards against taking a request that routing has discarded for one that it does not know yet (review/6)."""
+    await rig.open(effect="unsafe")
+    client = rig.connect_client(REQUEST_LINE)
+    await rig.accept_request("s1")
+    rig.program.routing.balancer.lifecycle.on_client_disconnected(REQUEST_ID)
+    rig.connections[REQUEST_ID].mailbox.put_unbounded(DrainConnection(700))
+    assert await read_to_end(client) == (b"ERR\r\n", StreamEnd.FIN)
+
+
+async def test_drain_rejects_a_request_that_routing_does_not_know_yet(rig: LoopbackRig) -> None:
+    await rig.open(effect="unsafe")
+    rig.program.routing.mailbox.try_put = lambda event: True  # type: ignore[method-assign] # its event stays unread
+    client = rig.connect_client(REQUEST_LINE)
+    await wait_until(lambda: rig.connections)
+    rig.connections[REQUEST_ID].mailbox.put_unbounded(DrainConnection(700))
+    assert await read_to_end(client) == (b"BUSY 700\r\n", StreamEnd.FIN)
