A response of discovery has one time limit for the whole, and none between its parts

Cause: after the first bytes each part had to come within 0.4 s; else the call was given up and begun anew with the same limit. A response that dripped was read for 30 s on the other hand, past the 6 s after which a change counts as told.

Change: the whole response has a limit from its first bytes, 5 s from a service and the time of a watch from an agent. One that is still coming then goes on while each further half of that limit shows that it will be whole within 30 s (response_progress.py); one that drips or stalls is given up. A call that is interrupted by a reload raises an error of its own. The test's discovery sends without Nagle's algorithm, and its watches from another version are answered at once.

--- a/glenrock/net/discovery_client.py
+++ b/glenrock/net/discovery_client.py
@@ -6,19 +6,19 @@
 import json
 import socket
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 import httptools
 
 from ..config import Address
 from .clock import Clock, TimeLimit
-from .socket_io import close_socket, create_socket
+from .response_progress import ResponseProgress
+from .socket_io import close_socket, create_socket, recv_into
 
 OVERLOAD_STATUSES = (429, 503)
 HTTP_OK = 200
 MAX_RESPONSE_BYTES = 4 << 20  # of the body
-READ_TIMEOUT_MS = 400.0  # for each further part of a response
-RESPONSE_TIMEOUT_MS = 30_000.0  # for a whole response, with the connect
+MAX_LENGTH_DIGITS = 12  # of a stated length; enough to recognize one that is too large
 READ_BUFFER_BYTES = 16384
 # A connection that is closed sooner after a request had been closed by discovery while it was idle. A request that has
 # waited longer may have been queued, and must not be repeated at once.
@@ -45,11 +45,28 @@
     """Discovery did not respond in time, or the wait was interrupted."""
 
 
+class DiscoveryInterruptedError(DiscoveryTimeoutError):
+    """The wait was interrupted, since the call has become pointless."""
+
+
+class ResponseTimeouts(NamedTuple):
+    """The time limits of a call, in milliseconds.
+
+    Attributes:
+        first_bytes_ms: until the first bytes of the response, with the connect.
+        whole_ms: from the first bytes until the response is complete; `ResponseProgress` says when it may take longer.
+    """
+
+    first_bytes_ms: float
+    whole_ms: float
+
+
 class HttpResponse:
     """An HTTP response, assembled by callbacks of the httptools parser.
 
     Attributes:
         body: the bytes of the body received so far.
+        max_body_bytes: the length of the body that the head states, or else the largest that is accepted.
         has_begun: whether any byte has been received.
         is_complete: whether the whole response has been received.
         keeps_alive: whether the connection can be reused; known once the response is complete.
@@ -58,11 +75,17 @@
 
     def __init__(self) -> None:
         self.body = bytearray()
+        self.max_body_bytes = MAX_RESPONSE_BYTES
         self.has_begun = False
         self.is_complete = False
         self.keeps_alive = False
         self.parser = httptools.HttpResponseParser(self)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Reads the length of the body."""
+        if name.lower() == b"content-length" and value.isdigit():
+            self.max_body_bytes = min(int(value[:MAX_LENGTH_DIGITS]), MAX_RESPONSE_BYTES)
+
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body."""
         self.body += data
@@ -88,23 +111,24 @@
         self._sock: socket.socket | None = None
         self._connected_address = address  # of `_sock`
         self._time_limit: TimeLimit | None = None  # of the wait in progress
+        self._is_interrupted = False
 
-    async def get(self, path: str, timeout_ms: float) -> Any:
+    async def get(self, path: str, timeouts: ResponseTimeouts) -> Any:
         """Returns the decoded JSON body of a response.
 
         Args:
             path: the path of the request, with its query.
-            timeout_ms: the time until the first bytes of the response, with the connect.
+            timeouts: the time limits of the call.
 
         Raises:
             DiscoveryOverloadedError, DiscoveryStatusError: discovery rejected the call.
-            DiscoveryTimeoutError: the response, or its next part, did not come in time.
+            DiscoveryTimeoutError: the response did not begin, or was not complete, in time.
             DiscoveryClosedError: the connection was closed before the response.
             DiscoveryError: the response is too large, or the connection was closed within it.
             OSError: discovery cannot be reached.
             ValueError: the body is not JSON.
         """
-        response = await self._exchange(path, timeout_ms)
+        response = await self._exchange(path, timeouts)
         if not response.keeps_alive:
             self.disconnect()
         status = response.parser.get_status_code()
@@ -118,18 +142,23 @@
         """Returns the result of a coroutine.
 
         Raises:
-            DiscoveryTimeoutError: the coroutine took longer than `timeout_ms`, or `interrupt` was called.
+            DiscoveryTimeoutError: the coroutine took longer than `timeout_ms`.
+            DiscoveryInterruptedError: `interrupt` was called.
         """
+        self._is_interrupted = False
         async with self._clock.time_limit(timeout_ms) as self._time_limit:
             try:
                 return await coroutine
             finally:
                 self._time_limit = None
+        if self._is_interrupted:
+            raise DiscoveryInterruptedError("interrupted")
         raise DiscoveryTimeoutError("no response in time")
 
     def interrupt(self) -> None:
-        """Ends the wait in progress, which raises `DiscoveryTimeoutError`."""
+        """Ends the wait in progress, which raises `DiscoveryInterruptedError`."""
         if self._time_limit:
+            self._is_interrupted = True
             self._time_limit.expire()
 
     def disconnect(self) -> None:
@@ -147,22 +176,33 @@
             await asyncio.get_running_loop().sock_connect(self._sock, self.address)
         return self._sock
 
-    async def _exchange(self, path: str, timeout_ms: float) -> HttpResponse:
-        """Sends a request and reads the response.
-
-        A list of thousands of servers takes long to transfer, and a retry would transfer all of it again. So once the
-        first bytes have come, the call goes on while each further part comes within `READ_TIMEOUT_MS`, for at most
-        `RESPONSE_TIMEOUT_MS` in all.
-        """
+    async def _exchange(self, path: str, timeouts: ResponseTimeouts) -> HttpResponse:
+        """Sends a request and reads the response."""
         response = HttpResponse()
         buffer = bytearray(READ_BUFFER_BYTES)
-        deadline_ms = self._clock.now_ms() + RESPONSE_TIMEOUT_MS
-        await self.run_with_timeout(timeout_ms, self._send_request(path, response, buffer))
+        await self.run_with_timeout(timeouts.first_bytes_ms, self._send_request(path, response, buffer))
+        progress = ResponseProgress(self._clock.now_ms(), timeouts.whole_ms)
         while not response.is_complete:
-            remaining_ms = min(READ_TIMEOUT_MS, deadline_ms - self._clock.now_ms())
-            await self.run_with_timeout(remaining_ms, self._read(response, buffer))
+            remaining_ms = progress.next_check_ms - self._clock.now_ms()
+            if remaining_ms > 0:
+                await self._read_for(remaining_ms, response, buffer)
+            elif not progress.may_continue(len(response.body), response.max_body_bytes):
+                raise DiscoveryTimeoutError(f"response not complete in time: {len(response.body)} bytes of its body")
         return response
 
+    async def _read_for(self, duration_ms: float, response: HttpResponse, buffer: bytearray) -> None:
+        """Reads until the response is complete, or for a duration."""
+        try:
+            await self.run_with_timeout(duration_ms, self._read_to_end(response, buffer))
+        except DiscoveryInterruptedError:
+            raise
+        except DiscoveryTimeoutError:
+            return
+
+    async def _read_to_end(self, response: HttpResponse, buffer: bytearray) -> None:
+        while not response.is_complete:
+            await self._read(response, buffer)
+
     async def _send_request(self, path: str, response: HttpResponse, buffer: bytearray) -> None:
         """Sends a request and reads the first bytes of the response, on another connection if the open one is stale."""
         is_reused = self._sock is not None and self._connected_address == self.address
@@ -185,7 +225,7 @@
     async def _read(self, response: HttpResponse, buffer: bytearray) -> None:
         assert self._sock is not None, "the request was sent on a connection"
         try:
-            count = await asyncio.get_running_loop().sock_recv_into(self._sock, buffer)
+            count = await recv_into(asyncio.get_running_loop(), self._sock, buffer)
         except ConnectionResetError:
             count = 0
         if not count and not response.has_begun:
--- a/glenrock/net/endpoint_watcher.py
+++ b/glenrock/net/endpoint_watcher.py
@@ -19,6 +19,7 @@
     DiscoveryOverloadedError,
     DiscoveryStatusError,
     DiscoveryTimeoutError,
+    ResponseTimeouts,
 )
 from .endpoint_rows import EndpointRow, parse_row
 from .poll_backoff import CallFailure, FailedCall, PollBackoff
@@ -229,7 +230,8 @@
         started_ms = self._clock.now_ms()
         grace_ms = NO_LIST_RESPONSE_GRACE_MS if self.has_no_list else self.backoff.response_grace_ms
         try:
-            raw = await self._client.get(f"/discovery/hosts{query}", watch_ms + grace_ms)
+            timeouts = ResponseTimeouts(watch_ms + grace_ms, self.backoff.whole_response_ms)
+            raw = await self._client.get(f"/discovery/hosts{query}", timeouts)
         except DiscoveryStatusError:
             self._watch_version = None  # discovery may no longer have this version
             raise
--- a/glenrock/net/poll_backoff.py
+++ b/glenrock/net/poll_backoff.py
@@ -149,6 +149,14 @@
             return min(MAX_RESPONSE_GRACE_MS, MISSED_CHANGE_GRACE_MS + self.drain_grace_ms / 4)
         return AGENT_RESPONSE_GRACE_MS
 
+    @property
+    def whole_response_ms(self) -> float:
+        """How long a response may take from its first bytes to its last.
+
+        A change that it does not contain yet is in the response to the next call, which must come in time too.
+        """
+        return MAX_CALL_INTERVAL_MS if self.must_poll else self.watch_timeout_ms
+
     def first_call_delay_ms(self, has_list: bool = True) -> float:
         """Returns the delay until the first call. `has_list` is whether a cached list can be used until then."""
         if not self.must_poll or self.balancers < 2:
--- a/tests/net/scripted_discovery.py
+++ b/tests/net/scripted_discovery.py
@@ -11,8 +11,11 @@
 from urllib.parse import parse_qs, urlsplit
 
 from glenrock.config import Address
+from glenrock.net.endpoint_rows import EndpointRow
 from glenrock.net.endpoint_watcher import EndpointWatcher
 from glenrock.net.poll_backoff import PollBackoff
+from glenrock.net.socket_io import configure_socket
+from glenrock.routing.interface import EndpointListKind
 
 from .discovery_answers import endpoint_list_response, endpoint_row, http_response
 from .loopback_delivery import ManualTime
@@ -23,6 +26,8 @@
 VERSION = 5
 ROW = endpoint_row("s1", "127.0.0.1:1")
 ENDPOINT_LIST = endpoint_list_response(VERSION, [ROW])
+DRIP_INTERVAL_MS = 100.0
+DRIP_HEAD = b"HTTP/1.1 200 X\r\nContent-Length: 1000000\r\n\r\n"
 REJECTION = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -30,13 +35,23 @@
     """What discovery does with calls.
 
     ANSWERS: answers, a watch after its wait. REJECTS: 503 at once, also to open watches. RESETS: resets the connection
-    at once. SILENT: never answers; a call that was made meanwhile is not answered later either.
+    at once. SILENT: never answers; a call that was made meanwhile is not answered later either. DRIPS: begins an answer
+    and sends a byte of it each `DRIP_INTERVAL_MS`, for ever. STALLS: sends the half of an answer, and no more.
     """
 
     ANSWERS = auto()
     REJECTS = auto()
     RESETS = auto()
     SILENT = auto()
+    DRIPS = auto()
+    STALLS = auto()
+
+
+class Cut(NamedTuple):
+    """How an answer is cut: the number of its parts, and the time from one to the next."""
+
+    parts: int = 1
+    spacing_ms: float = 0.0
 
 
 class ReceivedCall(NamedTuple):
@@ -51,14 +66,18 @@
 
     Attributes:
         calls: the calls received so far.
-        version: the version of its list. A watch from a later one is answered with the whole list at once.
+        version: the version of its list. A watch from another one is answered with the whole list at once.
         queue_ms: how long a call waits before it is rejected or its connection is reset.
+        rows: the rows of its list.
+        cut: how its answers are cut.
     """
 
     def __init__(self, time: ManualTime) -> None:
         self.calls: list[ReceivedCall] = []
         self.version = VERSION
         self.queue_ms = 0.0
+        self.rows = [ROW]
+        self.cut = Cut()
         self._time = time
         self._behavior = Behavior.ANSWERS
         self._behavior_changed = asyncio.Event()
@@ -88,7 +107,9 @@
     async def _accept(self) -> None:
         while True:
             sock, _ = await asyncio.get_running_loop().sock_accept(self._listener)
-            sock.setblocking(False)
+            configure_socket(
+                sock
+            )  # with Nagle's algorithm a second part would wait for an acknowledgement, in real time
             self._connections.append(sock)
             self._tasks.append(asyncio.create_task(self._serve(sock)))
 
@@ -110,12 +131,35 @@
                     return
                 if behavior is Behavior.SILENT:
                     continue
-                await loop.sock_sendall(sock, REJECTION if behavior is Behavior.REJECTS else http_response(body))
+                if behavior is Behavior.DRIPS:
+                    await self._drip(sock)
+                answer = REJECTION if behavior is Behavior.REJECTS else http_response(body)
+                if behavior is Behavior.STALLS:
+                    answer = http_response(endpoint_list_response(self.version, self.rows))
+                    await loop.sock_sendall(sock, answer[: len(answer) // 2])
+                    continue
+                await self._send(sock, answer)
+
+    async def _drip(self, sock: socket.socket) -> None:
+        """Sends a byte of an answer each `DRIP_INTERVAL_MS`, until the connection ends."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, DRIP_HEAD)
+        while True:
+            await self._time.clock.sleep(DRIP_INTERVAL_MS)
+            await loop.sock_sendall(sock, b" ")
+
+    async def _send(self, sock: socket.socket, answer: bytes) -> None:
+        """Sends an answer in the parts that `cut` says."""
+        size = -(-len(answer) // self.cut.parts)
+        for start in range(0, len(answer), size):
+            if start:
+                await self._time.clock.sleep(self.cut.spacing_ms)
+            await asyncio.get_running_loop().sock_sendall(sock, answer[start : start + size])
 
     async def _wait_and_answer(self, path: str) -> object:
         query = parse_qs(urlsplit(path).query)
-        if "index" not in query or int(query["index"][0]) > self.version:
-            return endpoint_list_response(self.version, [ROW])
+        if "index" not in query or int(query["index"][0]) != self.version:
+            return endpoint_list_response(self.version, self.rows)
         async with self._time.clock.time_limit(float(query["wait"][0])):
             await self._behavior_changed.wait()
         return endpoint_list_response(self.version, [], is_full=False)
@@ -133,6 +177,7 @@
     Attributes:
         discovery: the discovery whose address the watcher has.
         watcher: the watcher.
+        server_count: the number of rows in the last list or change that it has passed on.
 
     Args:
         balancers: the number of balancers that the watcher's backoff takes into account.
@@ -144,15 +189,19 @@
         self.clock = self._time.clock
         self.discovery = ScriptedDiscovery(self._time)
         self._earlier: list[ScriptedDiscovery] = []
+        self.server_count = 0  # of the last list
         self.watcher = EndpointWatcher(
             self.discovery.address,
             self.clock,
-            lambda _kind, _rows: None,
+            self._record_list,
             lambda: None,
             PollBackoff(balancers, must_poll, random.Random(seed)),
         )
         self._task = asyncio.create_task(self.watcher.run())
 
+    def _record_list(self, _kind: EndpointListKind, rows: list[EndpointRow]) -> None:
+        self.server_count = len(rows)
+
     def move_discovery(self) -> ScriptedDiscovery:
         """Gives the watcher another discovery, as a new configuration does. Returns the earlier one, which goes on."""
         earlier, self.discovery = self.discovery, ScriptedDiscovery(self._time)
--- a/tests/net/test_answers_and_decisions.py
+++ b/tests/net/test_answers_and_decisions.py
@@ -171,9 +171,11 @@
     assert await read_to_end(client) == (b"ERR\r\n", StreamEnd.FIN)
 
 
-async def test_drain_rejects_a_request_that_routing_does_not_know_yet(rig: LoopbackRig) -> None:
+async def test_drain_rejects_a_request_that_routing_does_not_know_yet(
+    rig: LoopbackRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
     await rig.open(effect="unsafe")
-    rig.program.routing.mailbox.try_put = lambda event: True  # type: ignore[method-assign] # its event stays unread
+    monkeypatch.setattr(rig.program.routing.mailbox, "try_put", lambda event: True)  # its event stays unread
     client = rig.connect_client(REQUEST_LINE)
     await wait_until(lambda: rig.connections)
     rig.connections[REQUEST_ID].mailbox.put_unbounded(DrainConnection(700))
