A full mailbox of routing loses no end of a request and no change of the list

After a flood of events within one turn routing kept requests that had ended, ignored requests under their ids, and missed a drain that discovery told just then.

Cause: all events were posted with `post`, which drops an event while 65,536 wait, and no sender of an end, a result or a list looked at its answer.

Change: these are posted with `post_required`, which the senders bound: a few for each connection, one for each server under check and each call of discovery. Requests and observations that are repeated may still be dropped; so may loads that peers share, which came unbounded by the same way as results of checks.

--- a/glenrock/coordination/sharded_health_checks.py
+++ b/glenrock/coordination/sharded_health_checks.py
@@ -56,23 +56,26 @@
             self._post_load(server_id, load)
 
     def _post_load(self, server_id: str, load: float) -> None:
+        self._post(self._result_of(server_id, load))
+
+    def _result_of(self, server_id: str, load: float) -> interface.HealthCheckResult:
         report = {self._load_fields[0]: load}
-        self._post(interface.HealthCheckResult(server_id, interface.AttemptOutcome.SERVED, 0, report))
+        return interface.HealthCheckResult(server_id, interface.AttemptOutcome.SERVED, 0, report)
 
-    def _post_and_record(self, event: interface.Event) -> bool:
+    def _post_and_record(self, event: interface.Event) -> None:
         """Records the load if the event is the result of a health check, and posts the event to the routing actor."""
         if isinstance(event, interface.HealthCheckResult) and event.outcome == interface.AttemptOutcome.SERVED:
             load = event.report.get(self._load_fields[0])
             self._shards.record_result(event.server_id, load, boottime_us())
-        return self._post(event)
+        self._post(event)
 
     def _on_shared_loads(self, peer: int, message: datagrams.SharedLoads) -> None:
         loads = self._shards.receive(message.data, boottime_us()) if self._load_fields else []
         if loads is None:
             logger.warning("malformed shared loads ignored", peer=peer)
             return
-        for server_id, load in loads:
-            self._post_load(server_id, load)
+        for server_id, load in loads:  # of datagrams that may come without end, so they may be lost
+            self._context.host.routing.post(self._result_of(server_id, load))
 
     async def _run(self) -> None:
         interval_s = CHECK_INTERVAL_US / ROUNDS_PER_CHECK_INTERVAL / SECOND_US
--- a/glenrock/net/connection_reports.py
+++ b/glenrock/net/connection_reports.py
@@ -49,12 +49,14 @@
 
     def post_open(self, server: str) -> None:
         """Reports an open connection that routing has not assigned: resumed, taken over, or already discarded there."""
-        self._routing.post(interface.OpenConnection(self._request(), server))
+        self._routing.post_required(interface.OpenConnection(self._request(), server))
 
     def post_established(self, attempt_number: int, server: str, latency_ms: float) -> None:
         """Reports that the connection is established."""
         request_id = self._request_line.request_id
-        self._routing.post(interface.ConnectionEstablished(request_id, attempt_number, server, us_from_ms(latency_ms)))
+        self._routing.post_required(
+            interface.ConnectionEstablished(request_id, attempt_number, server, us_from_ms(latency_ms))
+        )
 
     def post_load(self, server: str, load: float) -> None:
         """Reports the load that the server has reported for the connection."""
@@ -70,7 +72,7 @@
         was_established: bool = False,
     ) -> None:
         """Reports that an attempt has failed, or that the connection it established has ended."""
-        self._routing.post(
+        self._routing.post_required(
             interface.AttemptEnded(
                 self._request_line.request_id,
                 attempt_number,
@@ -86,7 +88,7 @@
         """Reports that the client has disconnected, unless routing knows that the connection has ended."""
         if not self.is_end_known:
             self.is_end_known = True
-            self._routing.post(interface.ClientDisconnected(self._request_line.request_id))
+            self._routing.post_required(interface.ClientDisconnected(self._request_line.request_id))
 
     def count(self, outcome: ConnectionOutcome) -> None:
         """Counts the outcome of the connection; calls after the first have no effect."""
--- a/glenrock/net/health_check_connection.py
+++ b/glenrock/net/health_check_connection.py
@@ -38,7 +38,7 @@
 class HealthCheckConnection:
     """Owns the connection for health checks of one server. One check at a time may be in flight."""
 
-    def __init__(self, clock: Clock, post: Callable[[interface.Event], bool], pool: HealthCheckPool) -> None:
+    def __init__(self, clock: Clock, post: Callable[[interface.Event], object], pool: HealthCheckPool) -> None:
         self._clock = clock
         self._post = post
         self._pool = pool
--- a/glenrock/net/routing_actor.py
+++ b/glenrock/net/routing_actor.py
@@ -75,9 +75,20 @@
         self._batch_waiters: list[asyncio.Future[None]] = []
 
     def post(self, event: interface.Event) -> bool:
-        """Adds an event to the next batch. Returns False if the mailbox is full."""
+        """Adds an event to the next batch. Returns False if the mailbox is full.
+
+        For events that may be lost: requests, which are then rejected, and observations that are repeated.
+        """
         return self.mailbox.try_put(event)
 
+    def post_required(self, event: interface.Event) -> None:
+        """Adds an event to the next batch, even if the mailbox is full.
+
+        For events without which routing would keep a request, a connection, a health check or a list that has ended.
+        Their senders bound their number: a few for each connection, one for each server and for each call of discovery.
+        """
+        self.mailbox.put_unbounded(event)
+
     def load_of(self, request_id: str) -> int:
         """Returns the last known load of a request's connection; 0 for an unknown request."""
         return self.balancer.load_of(request_id)
--- a/glenrock/net/server_actor.py
+++ b/glenrock/net/server_actor.py
@@ -31,7 +31,7 @@
     ServerKeyword.MIGRATE: AttemptEnd.MIGRATED,
 }
 
-PostEvent = Callable[[interface.Event], bool]
+PostEvent = Callable[[interface.Event], object]
 
 logger = get_logger(__name__)
 
@@ -49,7 +49,7 @@
         row: the server's row of the endpoint list.
         is_suspended: whether an operator has suspended the server.
         connect_timeout_ms: the timeout for establishing a connection.
-        post: takes events for routing.
+        post: takes events for routing, also while its mailbox is full.
         mailbox: queued attempts and commands.
         health_check_task: the task of the health check in flight, or of the last one.
         tasks: the tasks of attempts and health checks in flight.
--- a/glenrock/net/server_connections.py
+++ b/glenrock/net/server_connections.py
@@ -35,7 +35,8 @@
         has_list: whether discovery has reported a whole endpoint list. Then a name that was never listed belongs to no
             server.
         suspended: names of suspended servers, listed or not.
-        post: takes events for routing. Coordination may replace it, so actors call `_post`, which reads it each time.
+        post: takes events for routing, also while its mailbox is full. Coordination may replace it, so actors call
+            `_post`, which reads it each time.
         connect_timeout_ms: the timeout for establishing a connection to a server.
     """
 
@@ -100,8 +101,8 @@
         self.actors[name] = actor
         return actor
 
-    def _post(self, event: interface.Event) -> bool:
-        return self.post(event)
+    def _post(self, event: interface.Event) -> None:
+        self.post(event)
 
     def update(self, kind: EndpointListKind, rows: list[EndpointRow]) -> None:
         """Stores an endpoint list or changes to it, and passes them to routing."""
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -196,7 +196,7 @@
         self.budget = DescriptorBudget(effective_descriptor_limit(config.descriptor_limit))
         start_times = StartTimes(clock, settings.slow_start_us / 1000)
         self.servers = ServerRegistry(
-            clock, settings.connect_timeout_us / 1000, self.routing.post, metrics, self.budget, start_times
+            clock, settings.connect_timeout_us / 1000, self.routing.post_required, metrics, self.budget, start_times
         )
         self.endpoints = EndpointWatcher(
             config.discovery,
@@ -228,7 +228,7 @@
             raise ConfigError(f"limits.sockets: {error}") from error
 
     def _report_poll_failure(self) -> None:
-        self.routing.post(interface.EndpointList(interface.EndpointListKind.FAILED))
+        self.routing.post_required(interface.EndpointList(interface.EndpointListKind.FAILED))
 
     def _create_peers(self, config: Config) -> Peers | None:
         if not config.peer_listen:
--- a/tests/net/test_answers_and_decisions.py
+++ b/tests/net/test_answers_and_decisions.py
@@ -61,6 +61,31 @@
     assert await read_to_end(client) == (b"BUSY 500\r\n", StreamEnd.FIN)
 
 
+@pytest.mark.parametrize("is_established", [True, False])
+async def test_full_mailbox_of_routing_loses_no_end_of_a_request(rig: LoopbackRig, is_established: bool) -> None:
+    """Guards against requests that routing keeps for ever, and ids that it then ignores, after a flood of events."""
+    await rig.open()
+    if is_established:
+        client, _ = await rig.establish()
+    else:
+        client = rig.connect_client(REQUEST_LINE)
+        await rig.accept_request("s1")
+    rig.program.routing.mailbox.limit = 0
+    client.close()
+    await rig.advance_until(lambda: not rig.connections)
+    await rig.run_loop()
+    assert not rig.program.routing.balancer.requests
+
+
+async def test_full_mailbox_of_routing_loses_no_change_of_the_list(rig: LoopbackRig) -> None:
+    """Guards against sending to a server whose drain was told while the mailbox was full."""
+    await rig.open()
+    rig.program.routing.mailbox.limit = 0
+    rig.report_endpoints(s1="DRAINING")
+    await rig.run_loop()
+    assert not rig.program.routing.balancer.servers["s1"].is_ready
+
+
 async def test_full_mailbox_loses_no_end_of_a_connection(rig: LoopbackRig) -> None:
     await rig.open()
     client, server_side = await rig.establish()
