--- a/glenrock/testbed/balancer_process.py
+++ b/glenrock/testbed/balancer_process.py
@@ -61,6 +61,7 @@
         party: its name in records and histories.
         config: written to its file at each start.
         environment: variables beside the usual ones.
+        pass_fds: descriptors that it inherits.
         incarnation: starts so far.
         is_paused: whether it is stopped by `pause`.
         folder: of its configuration, log and temporary files.
@@ -80,6 +81,7 @@
         self.party = balancer_party(number)
         self.config = config
         self.environment: dict[str, str] = {}
+        self.pass_fds: tuple[int, ...] = ()
         self.incarnation = 0
         self.is_paused = False
         self.folder = folder.resolve()
@@ -145,6 +147,7 @@
                 stdout=log,
                 stderr=log,
                 preexec_fn=self._limit_child,
+                pass_fds=self.pass_fds,
             )
         self.incarnation += 1
         self.is_paused = False
