A request keeps the fields that the balancer reads, and not a thousand others as objects

Cause: each field of a request became two strings in a dict that lives as long as the connection.

Change: all fields are checked by one pattern, and only the eight that the balancer reads are kept; the line itself is forwarded as before.

--- a/glenrock/net/protocol.py
+++ b/glenrock/net/protocol.py
@@ -64,7 +64,7 @@
     Attributes:
         request_id: the id that the client has chosen.
         key: the identity of the client.
-        fields: the fields by their names on the wire.
+        fields: the fields that the balancer reads, by their names on the wire. The others are only forwarded.
         raw: the line as received, with its terminator.
     """
 
@@ -111,7 +111,11 @@
 
 # Values are matched by patterns, since int() and float() also accept signs, underscores, blanks, NaN and infinity.
 REQUEST_LINE_PATTERN = re.compile(rb"OPEN ([0-9A-Za-z._-]{1,64}) ([0-9A-Fa-f]{1,16}) ([!-~]+)\r\n")
-FIELD_PATTERN = re.compile(r"([A-Za-z][A-Za-z0-9_]*)=([^=]+)")
+# A line may have more than a thousand fields, and a connection keeps its request as long as it lives. So all fields are
+# checked by one pattern, and only those that the balancer reads become objects.
+FIELD_NAME = r"[A-Za-z][A-Za-z0-9_]*+"
+FIELDS_PATTERN = re.compile(rf"{FIELD_NAME}=[^=,]++(?:,{FIELD_NAME}=[^=,]++)*+")
+READ_FIELDS = ("c", "t", "d", "g", "h", "r", "again", "at")
 HEX_PATTERN = re.compile(r"[0-9A-Fa-f]{1,16}")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 FLAG_PATTERN = re.compile("[01]")
@@ -160,22 +164,30 @@
 
 
 def _parse_fields(text: str) -> dict[str, str]:
-    fields: dict[str, str] = {}
-    has_duplicate = False
-    for part in text.split(","):
-        match = FIELD_PATTERN.fullmatch(part)
-        if match is None:
-            raise RequestLineError("a field is not NAME=VALUE")
-        has_duplicate |= match[1] in fields
-        fields[match[1]] = match[2]
-    if has_duplicate:
+    """Returns the fields that the balancer reads, after a check of all fields."""
+    if not FIELDS_PATTERN.fullmatch(text):
+        raise RequestLineError("a field is not NAME=VALUE")
+    parts = text.split(",")
+    if len({part.partition("=")[0] for part in parts}) < len(parts):
         raise RequestLineError("duplicate field")
+    fields = _read_fields("," + text + ",")
     for name, pattern in FIELD_VALUE_PATTERNS.items():
         if name in fields and not pattern.fullmatch(fields[name]):
             raise RequestLineError(f"invalid value in field {name}")
     return fields
 
 
+def _read_fields(text: str) -> dict[str, str]:
+    """Returns the fields that the balancer reads from a text with a comma before and after each field."""
+    fields: dict[str, str] = {}
+    for name in READ_FIELDS:
+        prefix = f",{name}="
+        start = text.find(prefix) + len(prefix)
+        if start >= len(prefix):
+            fields[name] = text[start : text.index(",", start)]
+    return fields
+
+
 def with_remaining_wait(line: bytes, wait_ms: float) -> bytes:
     """Returns the request line with its field `d`, if it has one, set to `wait_ms`, at least 1 ms."""
     head, space, rest = line.rstrip(b"\r\n").rpartition(b" ")
