Pings of a connection have a rate, and a client that reads no answer is closed

Cause: pings that had arrived together were answered without a turn for other tasks, up to 682 in a row; and a client that did not read its answers blocked its task for ever, even when it was shed, so that a crowd of them took all descriptors.

Change: after a burst of eight, answers to pings of a connection come 100 ms apart (net/rate_limit.py), and each answer has a time limit, which shedding ends.

--- a/benchmarks/flood_attacks.py
+++ b/benchmarks/flood_attacks.py
@@ -13,7 +13,6 @@
 import itertools
 import json
 import socket
-import struct
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -30,7 +29,7 @@
 OPERATOR_CONNECTIONS = 32
 FLOODED_RELAYS = 16
 LISTED_NAMES_PER_ANSWER = 50
-RESET = struct.pack("ii", 1, 0)
+ESTABLISHED_LINE = b"UP flood\r\n"
 
 
 @dataclass(frozen=True)
@@ -188,14 +187,36 @@
 
 
 async def open_relay(target: Target) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Returns a connection that is established."""
+    """Returns a connection that is established at the server of the attack."""
     while True:
         reader, writer = await asyncio.open_connection(*target.clients)
         writer.write(request(next(_numbers)))
-        if (await reader.readline()).startswith(b"UP"):
+        if await reader.readline() == ESTABLISHED_LINE:
             return reader, writer
         writer.close()
-        await asyncio.sleep(RETRY_S)
+
+
+async def start_server(
+    target: Target, serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
+) -> None:
+    """Starts the session server of the attack. It rejects the requests of ordinary clients."""
+
+    async def serve_lines(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while line := await reader.readline():
+                if line.startswith(b"OPEN flood"):
+                    writer.write(ESTABLISHED_LINE)
+                    await serve(reader, writer)
+                writer.write(b"PONG util=0.10,queue=0,x0=0.10\r\n" if line.startswith(b"STATS") else b"BUSY\r\n")
+
+    await asyncio.start_server(serve_lines, *target.listen)
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Sends all bytes back."""
+    while data := await reader.read(READ_BYTES):
+        writer.write(data)
+        await writer.drain()
 
 
 async def send_lines(target: Target) -> None:
@@ -208,6 +229,7 @@
             writer.write(b"x\r\n" * 2000)
             await writer.drain()
 
+    await start_server(target, echo)
     await repeat(connection)
 
 
@@ -221,6 +243,7 @@
             writer.write(b"x\r\n" * 2000)
             await writer.drain()
 
+    await start_server(target, echo)
     await repeat(connection)
 
 
@@ -352,24 +375,18 @@
 
 
 async def report_loads(target: Target) -> None:
-    """A session server that sends load lines at full speed on its connections; a client reads them."""
-    report = b"LOAD 1\r\n" * 2000
+    """A session server that sends load lines at full speed on its connections; clients read them."""
 
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, ConnectionError):
-            while line := await reader.readline():
-                if line.startswith(b"OPEN flood"):
-                    writer.write(b"UP r\r\n")
-                    while True:
-                        writer.write(report)
-                        await writer.drain()
-                writer.write(b"PONG util=0.10,queue=0,x0=0.10\r\n" if line.startswith(b"STATS") else b"UP r\r\n")
+    async def serve(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            writer.write(b"LOAD 1\r\n" * 2000)
+            await writer.drain()
 
     async def connection() -> None:
         reader, _ = await open_relay(target)
         await read_all(reader)
 
-    await asyncio.start_server(serve, *target.listen)
+    await start_server(target, serve)
     await asyncio.gather(*(repeat(connection) for _ in range(FLOODED_RELAYS)))
 
 
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -42,6 +42,7 @@
 INHERITED_DESCRIPTOR = 7
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None)
+SERVER_ATTACKS = ("relay-lines", "relay-unread", "server-loads")
 DISCOVERY_ATTACKS = ("discovery-names", "discovery-rows", "discovery-head")
 
 
@@ -153,7 +154,7 @@
         if self._attack in DISCOVERY_ATTACKS:
             process.config["discovery"] = format_address(self.listen)
             self.attack()
-        if self._attack == "server-loads":
+        if self._attack in SERVER_ATTACKS:
             self.bed.directory.add(ListedServer("s-flood", self.listen, zone="a"))
         if self._attack == "upgrade":
             self._inherit_listener()
--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -6,19 +6,23 @@
 import contextlib
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from ..log import get_logger
 from . import protocol
-from .clock import Clock
+from .clock import Clock, TimeLimit
 from .idle_connections import IdleConnections
 from .listening_socket import BACKLOG, ListeningSocket
 from .metrics import ConnectionMetrics, ConnectionOutcome, FinalAnswerReason
+from .rate_limit import RateLimit
 from .socket_io import close_after_reading, configure_socket, recv_into
 
 FIRST_LINE_TIMEOUT_MS = 2000.0  # the protocol requires an answer within 3 s
 IDLE_TIMEOUT_MS = 10_000.0  # for the next line after a ping
+PING_INTERVAL_MS = 100.0  # between answers to pings of a connection that sends them without a pause
+PING_BURST = 8  # pings that are answered at once
+PING_ANSWER_TIMEOUT_MS = 1000.0  # a client that does not read the answer by then is closed
 LINGER_TIMEOUT_MS = 1000.0  # from the final answer until the client must have closed the connection
 MAX_LINGER_BYTES = 65536  # read from a client after its final answer; one that sends more may lose the answer
 LAST_LINE_TIMEOUT_MS = 100.0  # for the first line of a connection that is accepted as the process ends
@@ -116,7 +120,7 @@
         self.rejects_requests = self._is_closing = True
         self._socket.accept(BACKLOG)
         self.close()
-        self.idle.stop_all_reading()
+        self.idle.stop_all_waiting()
 
     # -- connections -----------------------------------------------------------------------------------
 
@@ -151,9 +155,9 @@
 
     async def _read_request(self, sock: socket.socket) -> protocol.RequestLine | None:
         """Answers pings until a request comes. Returns None if the client has left or has had its final answer."""
-        loop = asyncio.get_running_loop()
         data = b""
         has_pinged = False
+        ping_limit = RateLimit(PING_INTERVAL_MS, PING_BURST)
         while True:
             received = await self._read_line(sock, data, has_pinged)
             if received is None:
@@ -165,29 +169,55 @@
             line, end, rest = data.partition(b"\n")
             if line + end != protocol.PING_LINE:
                 return await self._parse_request(sock, data)
-            self.check_drain_permit()
-            await loop.sock_sendall(sock, protocol.FAILURE_LINE if self.is_manually_draining else protocol.PONG_LINE)
-            self.idle.mark_answered(_current_task())
+            await self._wait(ping_limit.delay_ms(self._clock.now_ms()))
+            if self.idle.is_shed(_current_task()):
+                await self._end_without_request(sock, has_only_pinged=True)
+                return None
+            if not await self._answer_ping(sock):
+                return None
+            ping_limit.record(self._clock.now_ms())
             data = rest
             has_pinged = True
 
+    async def _wait(self, duration_ms: float) -> None:
+        """Waits for a duration, or until the connection is shed or the process ends."""
+        if duration_ms > 0:
+            async with self._limit_wait(duration_ms):
+                await asyncio.get_running_loop().create_future()
+
+    async def _answer_ping(self, sock: socket.socket) -> bool:
+        """Answers a ping. Returns False if the client does not read the answer in time, or is shed meanwhile."""
+        self.check_drain_permit()
+        line = protocol.FAILURE_LINE if self.is_manually_draining else protocol.PONG_LINE
+        async with self._limit_wait(PING_ANSWER_TIMEOUT_MS) as limit:
+            await asyncio.get_running_loop().sock_sendall(sock, line)
+        self.idle.mark_answered(_current_task())
+        return not limit.has_expired
+
+    @contextlib.asynccontextmanager
+    async def _limit_wait(self, duration_ms: float) -> AsyncIterator[TimeLimit]:
+        """Limits a wait for a client that has sent no request. The wait also ends when its connection is shed."""
+        task = _current_task()
+        limit = self._clock.time_limit(duration_ms)
+        async with limit:
+            self.idle.start_waiting(task, limit)
+            try:
+                yield limit
+            finally:
+                self.idle.stop_waiting(task)
+
     async def _read_line(self, sock: socket.socket, data: bytes, has_pinged: bool) -> bytes | None:
         """Returns all bytes once a line is complete or the timeout has expired; None if the client has left."""
         loop = asyncio.get_running_loop()
         buffer = bytearray(protocol.MAX_LINE_BYTES)
-        task = _current_task()
-        if self.idle.is_shed(task):
+        if self.idle.is_shed(_current_task()):
             return data + _read_available(sock)
-        async with self._clock.time_limit(self._line_timeout_ms(has_pinged)) as limit:
-            self.idle.start_reading(task, limit)
-            try:
-                while not _is_complete(data):
-                    count = await recv_into(loop, sock, buffer)
-                    if not count:
-                        return None
-                    data += buffer[:count]
-            finally:
-                self.idle.stop_reading(task)
+        async with self._limit_wait(self._line_timeout_ms(has_pinged)) as limit:
+            while not _is_complete(data):
+                count = await recv_into(loop, sock, buffer)
+                if not count:
+                    return None
+                data += buffer[:count]
         if limit.has_expired:
             # A request may have arrived just before the timeout.
             data += _read_available(sock)
--- a/glenrock/net/idle_connections.py
+++ b/glenrock/net/idle_connections.py
@@ -32,7 +32,7 @@
         self.answered: dict[ConnectionTask, None] = {}
         self._ending: dict[ConnectionTask, None] = {}  # the part of `answered` whose final answer was sent
         self._shed: set[ConnectionTask] = set()  # rejected next, unless a request has already arrived
-        self._read_limits: dict[ConnectionTask, TimeLimit] = {}
+        self._wait_limits: dict[ConnectionTask, TimeLimit] = {}
 
     def __len__(self) -> int:
         """Returns the number of connections, without shed ones whose final answer was not sent yet."""
@@ -67,25 +67,25 @@
         """Returns whether the connection was chosen to be closed to free its descriptor."""
         return task in self._shed
 
-    def start_reading(self, task: ConnectionTask, limit: TimeLimit) -> None:
-        """Records that the connection waits for a line, with that time limit."""
-        self._read_limits[task] = limit
+    def start_waiting(self, task: ConnectionTask, limit: TimeLimit) -> None:
+        """Records that the connection waits for its client, with that time limit."""
+        self._wait_limits[task] = limit
 
-    def stop_reading(self, task: ConnectionTask) -> None:
-        """Records that the connection no longer waits for a line."""
-        del self._read_limits[task]
+    def stop_waiting(self, task: ConnectionTask) -> None:
+        """Records that the connection no longer waits."""
+        del self._wait_limits[task]
 
-    def stop_all_reading(self) -> None:
-        """Makes all connections stop waiting for a line."""
-        for limit in list(self._read_limits.values()):
+    def stop_all_waiting(self) -> None:
+        """Makes all connections stop waiting for their clients."""
+        for limit in list(self._wait_limits.values()):
             limit.expire()
 
     def shed_oldest(self) -> bool:
         """Closes one connection to free its descriptor.
 
         The oldest connection whose final answer was sent is closed at once. If there is none, the oldest connection
-        with an answered ping, or else the oldest without any answer, stops waiting for a line: it is rejected, unless
-        its request has already arrived.
+        with an answered ping, or else the oldest without any answer, stops waiting for its client: it is rejected,
+        unless its request has already arrived, and closed if it does not read.
 
         Returns:
             False if there is no connection to close.
@@ -111,5 +111,5 @@
         task = next(iter(connections))
         del connections[task]
         self._shed.add(task)
-        if limit := self._read_limits.get(task):
+        if limit := self._wait_limits.get(task):
             limit.expire()
--- a/tests/net/test_idle_connections.py
+++ b/tests/net/test_idle_connections.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
-from glenrock.net.acceptor import IDLE_TIMEOUT_MS, LAST_LINE_TIMEOUT_MS
+from glenrock.net.acceptor import (
+    IDLE_TIMEOUT_MS,
+    LAST_LINE_TIMEOUT_MS,
+    PING_ANSWER_TIMEOUT_MS,
+    PING_BURST,
+    PING_INTERVAL_MS,
+)
 from glenrock.net.connection_messages import DrainConnection
 
 from .rig import (
@@ -23,9 +31,60 @@
 from .settings import caps
 
 SHUTDOWN_TIMEOUT_S = 10.0
+FILL_ROUNDS = 5  # until the buffers of both ends are full
+SMALL_BUFFER_BYTES = 4096
 HALF_REQUEST_LINE = REQUEST_LINE[:9]
 
 
+def fill_send_buffer(sock: socket.socket) -> None:
+    """Sends until the kernel takes no more."""
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            sock.send(b"x" * 65536)
+
+
+async def test_pings_without_a_pause_are_answered_at_a_limited_rate(rig: LoopbackRig) -> None:
+    """Guards against one connection whose pings take all turns of the event loop (issue 58, picture b)."""
+    await rig.open()
+    client = rig.connect_client(b"PING\r\n" * 1000)
+    await rig.advance(1000)
+    answers = read_now(client)
+    assert answers == b"PONG\r\n" * (PING_BURST + int(1000 / PING_INTERVAL_MS))
+
+
+async def test_client_that_reads_no_answer_to_its_pings_is_closed(
+    rig: LoopbackRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections that are never closed, until no descriptor is left for others (picture b)."""
+    await rig.open()
+    accepted: list[socket.socket] = []
+    serve = rig.acceptor._serve
+
+    async def record_and_serve(sock: socket.socket) -> None:
+        accepted.append(sock)
+        await serve(sock)
+
+    monkeypatch.setattr(rig.acceptor, "_serve", record_and_serve)
+    clients = [rig.connect_client(b"PING\r\n") for _ in range(3)]
+    await wait_until(lambda: len(rig.acceptor.idle.answered) == len(clients))
+    for sock, option in [(sock, socket.SO_SNDBUF) for sock in accepted] + [
+        (sock, socket.SO_RCVBUF) for sock in clients
+    ]:
+        sock.setsockopt(socket.SOL_SOCKET, option, SMALL_BUFFER_BYTES)  # the kernel does not enlarge it from now on
+    for _ in range(FILL_ROUNDS):
+        for sock in accepted:
+            fill_send_buffer(sock)
+        await rig.run_loop()
+    for client in clients:
+        client.sendall(b"PING\r\n")
+    await rig.run_loop()
+    rig.acceptor.idle.shed_oldest()
+    await rig.run_loop()
+    assert len(rig.acceptor.tasks) == len(clients) - 1, "one that is shed ends at once"
+    await rig.advance(PING_ANSWER_TIMEOUT_MS + 10)
+    assert not rig.acceptor.tasks
+
+
 async def test_queued_request_is_answered_when_accepting_ends(rig: LoopbackRig) -> None:
     await rig.open()
     client = rig.connect_client(REQUEST_LINE)  # the event loop does not run before accepting ends
