--- a/tests/upgrade/conftest.py
+++ b/tests/upgrade/conftest.py
@@ -84,20 +84,25 @@
         self._endpoint_list = endpoint_list_response(version, rows)
 
     async def _answer_client(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while line := await reader.readline():
-            if line.startswith(b"OPEN"):
-                self.connection_counts[name] += 1
-                line = b"UP r\r\n"
-            writer.write(line)
-        writer.close()
+        try:
+            while line := await reader.readline():
+                if line.startswith(b"OPEN"):
+                    self.connection_counts[name] += 1
+                    line = b"UP r\r\n"
+                writer.write(line)
+        finally:
+            writer.close()
 
     async def _serve_endpoint_list(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while line := await reader.readline():
-            is_watch = line.startswith(b"GET /discovery/hosts?index=")
-            if is_watch and int(line.split(b"=")[1].split(b"&")[0]) >= self._endpoint_list["index"]:
-                continue  # nothing changes until the end of the test
-            if is_watch or line.startswith(b"GET /discovery/hosts HTTP"):
-                writer.write(http_response(self._endpoint_list))
+        try:
+            while line := await reader.readline():
+                is_watch = line.startswith(b"GET /discovery/hosts?index=")
+                if is_watch and int(line.split(b"=")[1].split(b"&")[0]) >= self._endpoint_list["index"]:
+                    continue  # nothing changes until the end of the test
+                if is_watch or line.startswith(b"GET /discovery/hosts HTTP"):
+                    writer.write(http_response(self._endpoint_list))
+        finally:
+            writer.close()
 
     async def start_process(self) -> int:
         """Starts a balancer process, and waits until it is ready. Returns the port for operators' calls."""
