Datagrams of one peer have a rate, and a flood of them pauses the reads

Cause: 64 datagrams were read and passed to routing in each turn of the event loop, whoever sent them.

Change: a peer's datagrams above a burst of 128 and 100 a second are dropped, and a wake-up that reads 32 pauses the reads for 5 ms.

--- a/glenrock/net/peers.py
+++ b/glenrock/net/peers.py
@@ -15,10 +15,15 @@
 
 from ..config import Address
 from ..log import get_logger
+from .clock import Clock
+from .rate_limit import RateLimit
 
 MAX_DATAGRAM_BYTES = 256
 FIRST_COORDINATION_MESSAGE_TYPE = b"\xf1"  # lowest first byte; a gossip summary starts with its version, which is lower
-MAX_READS_PER_WAKEUP = 64  # so that a flood of datagrams does not hold up connections
+MAX_READS_PER_WAKEUP = 32  # so that a flood of datagrams does not hold up connections
+FLOOD_PAUSE_MS = 5.0  # after as many reads in one wake-up; the kernel drops what does not fit its buffer
+PEER_INTERVAL_MS = 10.0  # between datagrams of one peer that never pauses; those in between are dropped
+PEER_BURST = 128  # datagrams
 
 logger = get_logger(__name__)
 
@@ -38,6 +43,7 @@
         broadcast: see `change_addresses`.
         post: takes events for routing.
         balancers: the number of balancers.
+        clock: the clock of the process.
         reuses_address: whether another process may have bound the same address.
 
     Raises:
@@ -51,6 +57,7 @@
         broadcast: Address | None,
         post: Callable[[interface.Event], bool],
         balancers: int,
+        clock: Clock,
         reuses_address: bool = False,
     ) -> None:
         self.on_datagram: Callable[[int, bytes], None] | None = None
@@ -60,6 +67,8 @@
         self._address_by_number: dict[int, Address] = {}
         self._post = post
         self._balancers = balancers
+        self._clock = clock
+        self._limits = [RateLimit(PEER_INTERVAL_MS, PEER_BURST) for _ in range(balancers)]  # by number
         self.change_addresses(peers, broadcast)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
@@ -102,11 +111,30 @@
             peer = self.number_by_address.get(sender)
             if peer is None or len(data) > MAX_DATAGRAM_BYTES:
                 logger.warning("datagram ignored", sender=Address(*sender), size_bytes=len(data))
-                continue
-            if self.on_datagram:
-                self.on_datagram(peer, data)
-            if not self.on_datagram or data[:1] < FIRST_COORDINATION_MESSAGE_TYPE:
-                self._post(interface.GossipReceived(peer, data))
+            else:
+                self._handle(peer, data)
+        self._pause()
+
+    def _handle(self, peer: int, data: bytes) -> None:
+        """Passes on a datagram, unless its sender exceeds its rate."""
+        now_ms = self._clock.now_ms()
+        if self._limits[peer].delay_ms(now_ms):
+            logger.warning("datagram dropped: its sender exceeds its rate", peer=peer)
+            return
+        self._limits[peer].record(now_ms)
+        if self.on_datagram:
+            self.on_datagram(peer, data)
+        if not self.on_datagram or data[:1] < FIRST_COORDINATION_MESSAGE_TYPE:
+            self._post(interface.GossipReceived(peer, data))
+
+    def _pause(self) -> None:
+        """Stops reading for a while, since more datagrams arrive than a wake-up may read."""
+        asyncio.get_running_loop().remove_reader(self.sock)
+        self._clock.call_at(self._clock.now_ms() + FLOOD_PAUSE_MS, self._resume)
+
+    def _resume(self) -> None:
+        if self.sock.fileno() >= 0:
+            asyncio.get_running_loop().add_reader(self.sock, self._receive)
 
     def send_to(self, peer: int, data: bytes) -> None:
         """Sends a coordination message to a balancer. Errors are ignored, since coordination repeats its messages."""
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -239,6 +239,7 @@
             config.peer_broadcast,
             self.routing.post,
             config.settings.balancers,
+            self.clock,
             reuses_address=config.accept_fd is not None,
         )
         self.routing.send_gossip = peers.send_gossip
