Responses of discovery have bounds for head, rows and rate

Change: a list of more than 16,384 rows is not usable, calls after a burst of eight are 50 ms apart, a head has 64 KiB at most, and its length field is read from the head itself.

Six new tests fail without the change.

--- a/glenrock/net/discovery_client.py
+++ b/glenrock/net/discovery_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import socket
 from collections.abc import Coroutine
 from typing import Any, NamedTuple
@@ -18,7 +19,8 @@
 OVERLOAD_STATUSES = (429, 503)
 HTTP_OK = 200
 MAX_RESPONSE_BYTES = 4 << 20  # of the body
-MAX_LENGTH_DIGITS = 12  # of a stated length; enough to recognize one that is too large
+MAX_HEAD_BYTES = 65_536
+CONTENT_LENGTH_PATTERN = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,12})[ \t]*\r\n", re.IGNORECASE)
 READ_BUFFER_BYTES = 16384
 # A connection that is closed sooner after a request had been closed by discovery while it was idle. A request that has
 # waited longer may have been queued, and must not be repeated at once.
@@ -79,12 +81,32 @@
         self.has_begun = False
         self.is_complete = False
         self.keeps_alive = False
+        self._head = bytearray()  # with the first bytes of the body; empty once it is parsed
+        self._has_head = False
         self.parser = httptools.HttpResponseParser(self)
 
-    def on_header(self, name: bytes, value: bytes) -> None:
+    def feed(self, data: bytes) -> None:
+        """Parses further bytes.
+
+        Raises:
+            DiscoveryError: the head or the body is too large.
+        """
+        self.has_begun = True
+        if not self._has_head:
+            self._head += data
+        self.parser.feed_data(data)
+        if not self._has_head and len(self._head) > MAX_HEAD_BYTES:
+            raise DiscoveryError("the head of the response is too large")
+        if len(self.body) > MAX_RESPONSE_BYTES:
+            raise DiscoveryError("the response is too large")
+
+    def on_headers_complete(self) -> None:
         """Reads the length of the body."""
-        if name.lower() == b"content-length" and value.isdigit():
-            self.max_body_bytes = min(int(value[:MAX_LENGTH_DIGITS]), MAX_RESPONSE_BYTES)
+        # No callback for each header: httptools would collect a value of any length for it.
+        self._has_head = True
+        if match := CONTENT_LENGTH_PATTERN.search(self._head):
+            self.max_body_bytes = min(int(match[1]), MAX_RESPONSE_BYTES)
+        self._head.clear()
 
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body."""
@@ -232,7 +254,4 @@
             raise DiscoveryClosedError("discovery closed the connection before its response")
         if not count:
             raise DiscoveryError("discovery closed the connection within its response")
-        response.has_begun = True
-        response.parser.feed_data(bytes(buffer[:count]))
-        if len(response.body) > MAX_RESPONSE_BYTES:
-            raise DiscoveryError("the response is too large")
+        response.feed(bytes(buffer[:count]))
--- a/glenrock/net/endpoint_watcher.py
+++ b/glenrock/net/endpoint_watcher.py
@@ -23,11 +23,14 @@
 )
 from .endpoint_rows import EndpointRow, parse_row
 from .poll_backoff import CallFailure, FailedCall, PollBackoff
+from .rate_limit import RateLimit
 
 # A balancer without a list serves no client, so a longer wait breaks no time limit, and on a busy machine an answer may
 # be late.
 NO_LIST_RESPONSE_GRACE_MS = 5000.0
 MIN_POLL_INTERVAL_MS = 50.0  # after an empty response; below 200 ms, when discovery ends a watch that is not renewed
+POLL_BURST = 8  # calls that may follow each other at once; later ones `MIN_POLL_INTERVAL_MS` apart
+MAX_ROWS = 16_384  # of a response: all servers that are kept, and as many that are gone
 OLDER_RESPONSES_TO_ACCEPT = 4  # the last of this many consecutive older responses is accepted if it is a whole list
 NO_VERSION = -1
 
@@ -57,6 +60,8 @@
         KeyError, TypeError, ValueError: the object is not a valid response of discovery.
     """
     rows: dict[str, EndpointRow] = {}
+    if len(raw["endpoints"]) > MAX_ROWS:
+        raise ValueError(f"{len(raw['endpoints'])} rows, at most {MAX_ROWS} are read")
     for item in raw["endpoints"]:
         try:
             row = parse_row(item)
@@ -130,6 +135,7 @@
         self._continues_watch = False  # whether the next watch continues the last one, and is not queued
         self._has_moved = False  # whether discovery has another address since the last call
         self._consecutive_older_responses = 0
+        self._call_limit = RateLimit(MIN_POLL_INTERVAL_MS, POLL_BURST)
 
     @property
     def address(self) -> Address:
@@ -183,6 +189,7 @@
             if self._has_moved:
                 await self._sleep(self.backoff.prompt_call_delay_ms())
                 self._has_moved = False
+            await self._sleep(self._call_limit.reserve(self._clock.now_ms()))
             address = self.address
             started_ms = self._clock.now_ms()
             try:
--- a/tests/net/scripted_discovery.py
+++ b/tests/net/scripted_discovery.py
@@ -36,7 +36,8 @@
 
     ANSWERS: answers, a watch after its wait. REJECTS: 503 at once, also to open watches. RESETS: resets the connection
     at once. SILENT: never answers; a call that was made meanwhile is not answered later either. DRIPS: begins an answer
-    and sends a byte of it each `DRIP_INTERVAL_MS`, for ever. STALLS: sends the half of an answer, and no more.
+    and sends a byte of it each `DRIP_INTERVAL_MS`, for ever. STALLS: sends the half of an answer, and no more. CHANGES:
+    answers each call at once, with a newer version.
     """
 
     ANSWERS = auto()
@@ -45,6 +46,7 @@
     SILENT = auto()
     DRIPS = auto()
     STALLS = auto()
+    CHANGES = auto()
 
 
 class Cut(NamedTuple):
@@ -131,6 +133,9 @@
                     return
                 if behavior is Behavior.SILENT:
                     continue
+                if behavior is Behavior.CHANGES:
+                    self.version += 1
+                    body = endpoint_list_response(self.version, self.rows, is_full=False)
                 if behavior is Behavior.DRIPS:
                     await self._drip(sock)
                 answer = REJECTION if behavior is Behavior.REJECTS else http_response(body)
--- a/tests/net/test_endpoint_watcher.py
+++ b/tests/net/test_endpoint_watcher.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 
 from glenrock.config import Address
-from glenrock.net.endpoint_watcher import parse_response
+from glenrock.net.discovery_client import MAX_HEAD_BYTES, DiscoveryError, HttpResponse
+from glenrock.net.endpoint_watcher import MAX_ROWS, POLL_BURST, parse_response
+
+from .scripted_discovery import Behavior, WatcherRig
+
+FEED_BYTES = 4096
+LOOP_RUNS = 50
 
 
 def test_server_listed_twice_is_logged_and_its_later_row_counts(caplog: pytest.LogCaptureFixture) -> None:
@@ -21,3 +29,41 @@
     assert caplog.messages == [
         "endpoint listed twice: the later row counts server=s1 ignored_address=127.0.0.1:1 address=127.0.0.1:2"
     ]
+
+
+async def test_discovery_that_always_has_changes_is_called_at_a_limited_rate(
+    create_watcher_rig: Callable[..., WatcherRig],
+) -> None:
+    """Guards against a discovery whose changes take each turn of the event loop (issue 58, picture b)."""
+    rig = create_watcher_rig(balancers=1)
+    rig.discovery.set_behavior(Behavior.CHANGES)
+    for _ in range(LOOP_RUNS):  # the clock stands still
+        await rig.run_for(0.0)
+    assert len(rig.discovery.calls) <= POLL_BURST + 1
+    await rig.run_for(1.0)
+    assert len(rig.discovery.calls) > POLL_BURST + 1, "it goes on as time passes"
+
+
+def test_response_of_too_many_rows_is_not_usable() -> None:
+    """Guards against a list whose rows keep others from being served for seconds (issue 58, picture b)."""
+    with pytest.raises(ValueError, match="rows"):
+        parse_response({"index": 1, "snapshot": True, "endpoints": [{}] * (MAX_ROWS + 1)})
+
+
+@pytest.mark.parametrize("part", [b"a: b\r\n", b"y"], ids=["fields", "one field"])
+def test_head_of_a_response_is_bounded(part: bytes) -> None:
+    """Guards against a discovery whose head has no end (issue 58, picture a)."""
+    response = HttpResponse()
+    response.feed(b"HTTP/1.1 200 OK\r\nX: ")
+    with pytest.raises(DiscoveryError, match="head"):
+        for _ in range(MAX_HEAD_BYTES // FEED_BYTES + 1):
+            response.feed(part * (FEED_BYTES // len(part)))
+
+
+@pytest.mark.parametrize("name", [b"Content-Length", b"content-length"])
+def test_length_of_a_body_is_known_once_the_head_is_complete(name: bytes) -> None:
+    response = HttpResponse()
+    data = b"HTTP/1.1 200 OK\r\nX-Content-Length: 3\r\n%s: 12345\r\n\r\nabc" % name
+    for position in range(len(data)):
+        response.feed(data[position : position + 1])
+    assert response.max_body_bytes == 12345 and response.body == b"abc"
