Records of servers that changes of the list have removed are bounded

Cause: routing dropped a server that is gone only when a whole list came; a watch brings changes alone.

Change: above 1,024 the oldest records without connections and attempts are dropped.

--- a/glenrock/routing/endpoint_table.py
+++ b/glenrock/routing/endpoint_table.py
@@ -21,6 +21,7 @@
 
 MIN_INITIAL_WEIGHT = 0.25  # of a server; 1 is the weight of a server of mean size
 MAX_WEIGHT = 3.0
+MAX_GONE_SERVERS = 1024  # that changes of the list have removed; their records stay until a whole list comes
 
 
 class _PendingRingChange(NamedTuple):
@@ -51,6 +52,7 @@
         self.index = ServerIndex(self.servers)
         self._pending_changes: list[_PendingRingChange] = []
         self._added_count = 0
+        self._gone_ids: dict[str, None] = {}  # of the servers that changes have removed, oldest first
 
     def apply(self, event: EndpointList, requests: Mapping[str, RoutedRequest]) -> None:
         """Applies an endpoint list or changes to it.
@@ -70,7 +72,23 @@
             started_us = self._overrides.started_us(server.server_id, entry.started_us)
             if started_us > server.started_us:
                 self._record_restart(server, started_us)
+            self._record_gone(entry)
         self._apply_ring_changes()
+        self._remove_oldest_gone(requests)
+
+    def _record_gone(self, entry: Endpoint) -> None:
+        self._gone_ids.pop(entry.server_id, None)
+        if entry.state == EndpointState.GONE:
+            self._gone_ids[entry.server_id] = None
+
+    def _remove_oldest_gone(self, requests: Mapping[str, RoutedRequest]) -> None:
+        """Removes servers that are gone, without connections and attempts, above `MAX_GONE_SERVERS`."""
+        surplus = len(self._gone_ids) - MAX_GONE_SERVERS
+        for server_id in list(self._gone_ids)[: max(0, surplus)]:
+            server = self.servers.get(server_id)
+            if server is None or not (server.connections or _has_attempts(server, requests)):
+                self.servers.pop(server_id, None)
+                del self._gone_ids[server_id]
 
     def apply_override(self, event: OperatorOverride) -> None:
         """Suspends or resumes a server."""
