The socket of an upgrade bounds its connections and the rate of rejected messages

Change: four connections at most, rejections after a burst of 64 come 10 ms apart, and descriptors of a message that cannot be used are all closed and the message rejected.

--- a/glenrock/upgrade/relay_receiver.py
+++ b/glenrock/upgrade/relay_receiver.py
@@ -11,6 +11,7 @@
 from ..log import get_logger
 from ..net.client_connection import ClientConnection
 from ..net.connection_table import ConnectionTable
+from ..net.rate_limit import RateLimit
 from ..net.socket_io import wait_readable
 from .relay_message import (
     ACCEPTED,
@@ -23,6 +24,9 @@
 )
 
 LISTEN_BACKLOG = 4
+MAX_PREDECESSORS = 4  # connections at once; further ones are closed
+REJECTION_INTERVAL_MS = 10.0  # between rejected messages of a predecessor that never pauses
+REJECTION_BURST = 64  # messages
 MAX_RECEIVED_DESCRIPTORS = 4  # more than `DESCRIPTORS_PER_MESSAGE`, so that a message with too many is noticed
 
 logger = get_logger(__name__)
@@ -70,6 +74,10 @@
     def _accept(self, listening_socket: socket.socket) -> None:
         with contextlib.suppress(OSError):
             sock, _ = listening_socket.accept()
+            if len(self._tasks) >= MAX_PREDECESSORS:
+                logger.warning("too many connections of predecessors, closing the new one")
+                sock.close()
+                return
             sock.setblocking(False)
             task = asyncio.get_running_loop().create_task(self._serve(sock))
             self._tasks.add(task)
@@ -79,17 +87,21 @@
         """Answers the messages of one predecessor until it closes the connection."""
         loop = asyncio.get_running_loop()
         accepted_before = self._accepted_count
+        limit = RateLimit(REJECTION_INTERVAL_MS, REJECTION_BURST)
         with sock:
             while (message := await _receive(loop, sock)).data:
                 answer = self._answer(message)
+                if answer == REJECTED:
+                    await self._table.clock.sleep(limit.reserve(self._table.clock.now_ms()))
                 with contextlib.suppress(OSError):
                     sock.send(answer)
         logger.info("relays taken over", relays=self._accepted_count - accepted_before)
 
     def _answer(self, message: _ReceivedMessage) -> bytes:
         """Takes over the relay of a message, or closes its descriptors. Returns the answer to send."""
-        sockets = [socket.socket(fileno=descriptor) for descriptor in message.descriptors]
+        sockets: list[socket.socket] = []
         try:
+            sockets += _sockets_of(message.descriptors)
             connection = self._decode(message.data, sockets)
         except (ValueError, OSError) as error:
             logger.warning("relay rejected", error=error)
@@ -107,6 +119,25 @@
         return decode_relay(data, self._table, client, server)
 
 
+def _sockets_of(descriptors: list[int]) -> list[socket.socket]:
+    """Returns the sockets with these descriptors.
+
+    Raises:
+        OSError: one is no socket; all descriptors are closed then.
+    """
+    sockets: list[socket.socket] = []
+    try:
+        for descriptor in descriptors:
+            sockets.append(socket.socket(fileno=descriptor))
+    except OSError:
+        for sock in sockets:
+            sock.detach()
+        for descriptor in descriptors:
+            os.close(descriptor)
+        raise
+    return sockets
+
+
 async def _receive(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> _ReceivedMessage:
     while True:
         await wait_readable(loop, sock)
