Test: the discovery that always has changes answers while the clock stands still

The scripted discovery slept for 0 ms on a clock that stood still, so it got one call. It now answers at once; without the rate limit the test fails, with it 7 tests of the file pass.

--- a/tests/net/scripted_discovery.py
+++ b/tests/net/scripted_discovery.py
@@ -126,7 +126,7 @@
                 if behavior is Behavior.ANSWERS:
                     body = await self._wait_and_answer(path)
                     behavior = self._behavior  # a watch ends when discovery goes down
-                else:
+                elif self.queue_ms or behavior is not Behavior.CHANGES:
                     await self._time.clock.sleep(self.queue_ms)
                 if behavior is Behavior.RESETS:
                     close_socket(sock, reset=True)
