An id that may have run is not sent again, also over both processes of an upgrade

Cause: an id was known only while its connection stood in the table of one process, and it left that table before routing had read its end, so that a decision on the earlier request was carried out for a later one.

Such a request gets ERR. A connection leaves the table once routing has handled its end.

--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -53,6 +53,10 @@
         """Returns whether the descriptor limit allows no further connection."""
         ...
 
+    def claim(self, request_line: protocol.RequestLine) -> bool:
+        """Returns whether the request may begin: none of its id is in progress or may have run."""
+        ...
+
     def max_idle_connections(self) -> int:
         """Returns how many connections that have sent no request may be open."""
         ...
@@ -259,7 +263,7 @@
         """Returns whether the request may go to routing. Rejects it during a drain and at the descriptor limit."""
         is_rejecting = self.check_drain_permit() and self.rejects_requests
         if not is_rejecting and not self._connections.is_full():
-            return True
+            return await self._claim(sock, request_line)
         if not self.rejects_requests:
             logger.warning("request rejected: descriptor limit reached", request_id=request_line.request_id)
         self._connections.record_outcome(ConnectionOutcome.THROTTLED, request_line.class_name)
@@ -267,6 +271,15 @@
         await self._send_final_answer(sock, self._rejection_line_with_jitter(), reason)
         return False
 
+    async def _claim(self, sock: socket.socket, request_line: protocol.RequestLine) -> bool:
+        """Returns whether the request may begin. Answers one whose id is in use, or has run, with a failure."""
+        if self._connections.claim(request_line):
+            return True
+        logger.info("request rejected: its id is in use or has run", request_id=request_line.request_id)
+        self._connections.record_outcome(ConnectionOutcome.FAULTED, request_line.class_name)
+        await self._send_final_answer(sock, protocol.FAILURE_LINE, FinalAnswerReason.MALFORMED)
+        return False
+
     def _rejection_line_with_jitter(self) -> bytes:
         """Returns a rejection with a random Retry-After, so that clients rejected together do not retry together."""
         fraction = MIN_RETRY_AFTER_FRACTION + random.random() / 2  # noqa: S311 - jitter
--- a/glenrock/net/attempt_outcomes.py
+++ b/glenrock/net/attempt_outcomes.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
-from glenrock.routing.interface import AttemptOutcome
+from glenrock.routing.interface import NOT_EXECUTED_OUTCOMES, AttemptOutcome
 
 
 class AttemptProgress(IntEnum):
@@ -69,6 +69,11 @@
     progress: AttemptProgress
     report: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have run the request, or may yet. A write that was cancelled may have been whole."""
+        return self.progress > AttemptProgress.NOT_CONNECTED and self.outcome not in NOT_EXECUTED_OUTCOMES
+
     @property
     def outcome(self) -> AttemptOutcome:
         """The outcome for routing."""
--- a/glenrock/net/client_connection.py
+++ b/glenrock/net/client_connection.py
@@ -25,11 +25,16 @@
 
 
 class ClientConnection(EstablishedRelay):
-    """The actor of one client connection, from its request to its end. No other actor closes its sockets."""
+    """The actor of one client connection, from its request to its end. No other actor closes its sockets.
+
+    Attributes:
+        may_have_run: whether a server may have run the request.
+    """
 
     def __init__(self, owner: ConnectionOwner, sock: socket.socket, request_line: protocol.RequestLine) -> None:
         super().__init__(owner, sock, request_line)
         self._routing = owner.routing
+        self.may_have_run = False
         self._may_attempt = True
         self._decision: FinalAnswer | None = None  # of routing; until it is read it waits in the mailbox
 
@@ -84,6 +89,7 @@
 
     def on_attempt_result(self, attempt: ConnectionAttempt, result: AttemptResult) -> None:
         """Posts the result of an attempt to the mailbox."""
+        self.may_have_run = self.may_have_run or result.may_have_run
         self.mailbox.put_unbounded(AttemptCompleted(attempt, result))
 
     def is_client_waiting(self) -> bool:
@@ -248,6 +254,7 @@
         self.server = server
         self.attempt_number = 0
         self.reports.is_counted = True
+        self.may_have_run = True
         self.attempt = ConnectionAttempt(
             self.request_line.raw, 0, self.on_attempt_result, True, sock, progress=AttemptProgress.ESTABLISHED
         )
--- a/glenrock/net/connection_table.py
+++ b/glenrock/net/connection_table.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from collections.abc import Callable, Coroutine
 
@@ -18,6 +19,7 @@
 from .established_relay import EstablishedRelay
 from .metrics import ConnectionMetrics, ConnectionOutcome
 from .relay_pumps import create_shared_read_limit
+from .request_history import RETENTION_MS, RequestHistory
 from .routing_actor import RoutingActor
 from .server_connections import ServerRegistry
 
@@ -53,6 +55,7 @@
         budget: DescriptorBudget,
         measures_delay: bool,
         metrics: ConnectionMetrics,
+        history: RequestHistory | None = None,
     ) -> None:
         self.routing = routing
         self.servers = servers
@@ -60,6 +63,13 @@
         self.metrics = metrics
         self.budget = budget
         self.by_id: dict[str, ClientConnection] = {}
+        self._history = history
+        self._claims_renewed_ms = clock.now_ms()
+        self._retryable_classes = {
+            request_class.name
+            for request_class in routing.balancer.settings.classes
+            if request_class.idempotency is interface.Idempotency.SAFE
+        }
         self.shared_read_limit = create_shared_read_limit()
         self.count_other_descriptors: Callable[[], int] = _no_other_descriptors
         routing.find_connection = self.by_id.get
@@ -82,6 +92,26 @@
         """Returns whether a connection with that id is open."""
         return request_id in self.by_id
 
+    def claim(self, request_line: protocol.RequestLine) -> bool:
+        """Returns whether a request may begin: none of its id is in progress or may have run.
+
+        That includes the other process of an upgrade. The id of a class that may run twice is free again once its
+        request has ended, and a connection that is resumed has run before.
+        """
+        if self._history is None or request_line.resumes_at is not None:
+            return True
+        return self._history.claim(request_line.request_id)
+
+    def _release(self, connection: ClientConnection) -> None:
+        """Ends the claim of a request, whose id stays known if the request may have run and must not run twice."""
+        request_line = connection.request_line
+        if self._history is None or request_line.resumes_at is not None:
+            return
+        if connection.may_have_run and request_line.class_name not in self._retryable_classes:
+            self._history.keep(request_line.request_id)
+        else:
+            self._history.forget(request_line.request_id)
+
     def count_open(self) -> int:
         """Returns the number of connections that have not ended and have not been sent their final answer."""
         return sum(not connection.has_ended for connection in self.by_id.values())
@@ -130,7 +160,13 @@
         finally:
             connection.reports.post_disconnected()
             connection.reports.count(ConnectionOutcome.FAULTED)  # no effect unless an exception ended the connection
-            del self.by_id[request_id]
+            # Routing may have decided on the request before it learns of this end. Another request of the same id would
+            # get those actions, and so run twice.
+            self.routing.call_after_batch(functools.partial(self._remove, connection))
+
+    def _remove(self, connection: ClientConnection) -> None:
+        del self.by_id[connection.request_line.request_id]
+        self._release(connection)
 
     def record_message_delay(self, connection: EstablishedRelay, delay_ms: float) -> None:
         """Reports a server's slow messages to routing, and the first message that is no longer slow."""
@@ -168,6 +204,16 @@
                     )
                     connection.mailbox.try_put(MigrateClient(interface.AttemptOutcome.BROKEN))
             self.servers.close_idle_connections()
+            self._renew_claims()
+
+    def _renew_claims(self) -> None:
+        """Keeps the ids of long connections known to the other process of an upgrade."""
+        now_ms = self.clock.now_ms()
+        if self._history is None or now_ms - self._claims_renewed_ms < RETENTION_MS / 2:
+            return
+        self._claims_renewed_ms = now_ms
+        for request_id in self.by_id:
+            self._history.keep(request_id)
 
 
 def _slow_message_ms(settings: interface.Settings) -> float:
--- a/glenrock/net/routing_actor.py
+++ b/glenrock/net/routing_actor.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import heapq
 from collections.abc import Callable
 from typing import Protocol
@@ -72,7 +73,7 @@
         self._timers: list[tuple[int, int]] = []  # heap of (due time in microseconds, timer id)
         self._last_batch_us = 0
         self._priority_events: list[interface.Event] = []  # start the next batch; accepted even if the mailbox is full
-        self._batch_waiters: list[asyncio.Future[None]] = []
+        self._after_batch: list[Callable[[], object]] = []
 
     def post(self, event: interface.Event) -> bool:
         """Adds an event to the next batch. Returns False if the mailbox is full.
@@ -109,29 +110,32 @@
     async def wait_for_batch(self) -> None:
         """Waits until the events posted before this call have been handled."""
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._batch_waiters.append(done)
-        self.mailbox.wake()
+        self.call_after_batch(functools.partial(_complete, done))
         await done
 
+    def call_after_batch(self, callback: Callable[[], object]) -> None:
+        """Calls a function once the events posted before have been handled, and their actions carried out."""
+        self._after_batch.append(callback)
+        self.mailbox.wake()
+
     async def run(self) -> None:
         """Handles batches for as long as the program runs."""
         while True:
             batch = await self._next_batch()
             priority_events, self._priority_events = self._priority_events, []
-            waiters, self._batch_waiters = self._batch_waiters, []
+            callbacks, self._after_batch = self._after_batch, []
             self.handle_batch(priority_events + batch)
-            for done in waiters:
-                if not done.done():
-                    done.set_result(None)
+            for callback in callbacks:
+                callback()
 
     async def _next_batch(self) -> list[interface.Event]:
         wake_up = None
         if self._timers:
             at_ms = ms_from_us(self._timers[0][0]) + TIMER_MARGIN_MS
             wake_up = self._clock.call_at(at_ms, self.mailbox.wake)
-        # A wake-up has no effect before `get_all` starts to wait. So if there are priority events or waiters already,
+        # A wake-up has no effect before `get_all` starts to wait. So if there are priority events or callbacks already,
         # the next batch must not wait for a message. A wake-up that comes later ends the wait in `get_all`.
-        batch = [] if self._priority_events or self._batch_waiters else await self.mailbox.get_all()
+        batch = [] if self._priority_events or self._after_batch else await self.mailbox.get_all()
         if wake_up:
             wake_up.cancel()
         return batch
@@ -196,6 +200,11 @@
             connection.migrate()
 
 
+def _complete(done: asyncio.Future[None]) -> None:
+    if not done.done():
+        done.set_result(None)
+
+
 def _find_no_connection(request_id: str) -> RoutedConnection | None:
     """Returns None, because no connection table has been set."""
     return None
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -24,6 +24,7 @@
 from .net.metrics import ConnectionMetrics
 from .net.peers import Peers
 from .net.poll_backoff import PollBackoff
+from .net.request_history import RequestHistory
 from .net.routing_actor import RoutingActor
 from .net.server_connections import ServerRegistry
 from .net.start_times import StartTimes
@@ -174,6 +175,19 @@
     return PollBackoff(settings.balancers, settings.must_poll_endpoints, rng, settings.drain_grace_us / 1000)
 
 
+def _open_history(config: Config) -> RequestHistory | None:
+    """Returns the ids that must not run twice; None if they are only those of open connections of this process."""
+    folder = config.shared_folder if config.accept_fd is not None else ""
+    may_run_twice = all(class_.idempotency is interface.Idempotency.SAFE for class_ in config.settings.classes)
+    if may_run_twice and not folder:
+        return None
+    try:
+        return RequestHistory(folder)
+    except OSError as error:
+        logger.warning("request ids not shared with the other process of an upgrade", error=error)
+        return RequestHistory()
+
+
 class Program:
     """A balancer, with all of its parts.
 
@@ -207,7 +221,7 @@
             start_times.record_answer,
         )
         self.connections = ConnectionTable(
-            self.routing, self.servers, clock, self.budget, config.measures_delay, metrics
+            self.routing, self.servers, clock, self.budget, config.measures_delay, metrics, _open_history(config)
         )
         self.acceptor = Acceptor(self.connections, clock)
         self.shutdown = GracefulShutdown(self.connections, self.acceptor, clock)
--- a/tests/upgrade/conftest.py
+++ b/tests/upgrade/conftest.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import sys
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -44,13 +45,14 @@
 class UpgradeRig:
     """A test environment for upgrades: two servers, service discovery, a listening socket and balancer processes.
 
-    The servers answer OPEN with UP, and echo all other lines.
+    The servers answer OPEN with UP, but for ids that begin with `silent`, and echo all other lines.
 
     Attributes:
         folder: the folder that the processes share. It also holds their configuration files and logs.
         listening_socket: the socket that accepts clients. All processes inherit it.
         client_port: the port of the listening socket.
         connection_counts: how many connections each server has had.
+        opened_ids: how often each request id has come to a server.
         processes: the balancer processes, in the order of their start.
         settings: the settings of processes that are started from now on.
         cached_list: the list in the configuration of processes that are started from now on.
@@ -62,6 +64,7 @@
         os.set_inheritable(self.listening_socket.fileno(), True)
         self.client_port = self.listening_socket.getsockname()[1]
         self.connection_counts = {"s1": 0, "s2": 0}
+        self.opened_ids: Counter[bytes] = Counter()
         self.processes: list[asyncio.subprocess.Process] = []
         self.settings: dict[str, Any] = dict(SETTINGS)
         self._servers: list[asyncio.Server] = []
@@ -88,6 +91,10 @@
             while line := await reader.readline():
                 if line.startswith(b"OPEN"):
                     self.connection_counts[name] += 1
+                    request_id = line.split()[1]
+                    self.opened_ids[request_id] += 1
+                    if request_id.startswith(b"silent"):
+                        continue
                     line = b"UP r\r\n"
                 writer.write(line)
         finally:
--- a/tests/upgrade/test_processes.py
+++ b/tests/upgrade/test_processes.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
 import signal
 
+import pytest
+
 from glenrock.upgrade import override_file
 
 from .conftest import RunWithRig, UpgradeRig
 
 STOP_TIMEOUT_S = 5
 LINE_INTERVAL_S = 0.1
+ANSWER_TIMEOUT_S = 5.0
+REPEATED_REQUESTS = 12
 OVERRIDE_DELAY_S = 0.4  # enough for the other process to read the shared file
 
 
@@ -85,6 +90,41 @@
     run_with_rig(scenario)
 
 
+async def answer_to_id(rig: UpgradeRig, request_id: bytes) -> bytes:
+    """Returns the answer to a request of that id on a new connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", rig.client_port)
+    try:
+        writer.write(b"OPEN %s 1 c=look,d=20000\r\n" % request_id)
+        return await asyncio.wait_for(reader.readline(), ANSWER_TIMEOUT_S)
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("effect", ["safe", "keyed", "unsafe"])
+def test_id_in_flight_at_one_process_is_not_sent_by_the_other(run_with_rig: RunWithRig, effect: str) -> None:
+    """Guards against an id that runs twice when it comes again at the other process of an upgrade (picture c)."""
+
+    async def scenario(rig: UpgradeRig) -> None:
+        rig.settings["classes"] = [{**rig.settings["classes"][0], "effect": effect, "deadlineUs": 3_000_000}]
+        await rig.start_process()
+        _, writer = await asyncio.open_connection("127.0.0.1", rig.client_port)
+        with contextlib.closing(writer):
+            writer.write(b"OPEN silent-1 1 c=look,d=20000\r\n")
+            await rig.start_process()
+            assert rig.opened_ids[b"silent-1"] == 1
+            answers = [await answer_to_id(rig, b"silent-1") for _ in range(REPEATED_REQUESTS)]  # both processes accept
+            rig.processes[0].send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            answers.append(await answer_to_id(rig, b"silent-1"))  # only the second one accepts
+            assert set(answers) == {b"ERR\r\n"} and rig.opened_ids[b"silent-1"] == 1
+        await asyncio.sleep(0.2)
+        if effect != "safe":
+            assert await answer_to_id(rig, b"silent-1") == b"ERR\r\n"
+            assert rig.opened_ids[b"silent-1"] == 1
+
+    run_with_rig(scenario)
+
+
 def test_clients_migrate_without_a_successor_and_new_ones_wait_in_the_backlog(run_with_rig: RunWithRig) -> None:
     async def scenario(rig: UpgradeRig) -> None:
         await rig.start_process()
