Lines left when a client resets its connection are not sent on

Cause: Linux keeps what came before a reset readable, and the upstream pump read on to the error.

Change: before it forwards a part, the pump looks for a reset (poll without events), and passes it on at once; the downstream pump reports a failed write to the client itself, since the upstream one may be blocked.

--- a/glenrock/net/relay_pumps.py
+++ b/glenrock/net/relay_pumps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 
 from glenrock.routing.interface import AttemptOutcome
@@ -53,6 +54,11 @@
     return RateLimit(SHARED_READ_INTERVAL_MS, SHARED_READ_BURST)
 
 
+def _is_reset(hang_up: select.poll) -> bool:
+    """Returns whether a socket was reset, or has ended in both directions."""
+    return any(events & (select.POLLERR | select.POLLHUP) for _, events in hang_up.poll(0))
+
+
 class RelayPumps:
     """Owns the client's socket, and the server's once the connection is established.
 
@@ -143,6 +149,8 @@
         loop = asyncio.get_running_loop()
         buffer = bytearray(BUFFER_BYTES)
         limit = ReadLimit(self.clock, self._shared_read_limit)
+        hang_up = select.poll()
+        hang_up.register(self.sock, 0)  # reports errors and the end of both directions only
         while True:
             self.awaits_client = True
             if self.server_sock is not None:  # bytes that are discarded must not keep the client from its last line
@@ -157,6 +165,9 @@
             server_sock = self.server_sock
             if server_sock is None:  # already closed: bytes are discarded until the client ends
                 continue
+            if _is_reset(hang_up):
+                # The kernel still has what the client sent before. A reset is passed on at once, as a reset.
+                return RelayEvent.CLIENT_RST
             if self.unanswered_since_ms is None and b"\n" in buffer[:count]:
                 self.unanswered_since_ms = self.clock.now_ms()
             try:
@@ -170,14 +181,10 @@
             event = await self._copy_downstream()
         except OSError:
             event = RelayEvent.SERVER_RST
-        if event:
-            self.mailbox.put_unbounded(event)
+        self.mailbox.put_unbounded(event)
 
-    async def _copy_downstream(self) -> RelayEvent | None:
-        """Copies until the server ends or the client can migrate.
-
-        Returns None if writing to the client failed: the upstream pump posts that.
-        """
+    async def _copy_downstream(self) -> RelayEvent:
+        """Copies until the server ends, the client can migrate, or writing to the client fails."""
         attempt, server_sock = self.attempt, self.server_sock
         assert attempt is not None and server_sock is not None, "the connection is established"
         loop = asyncio.get_running_loop()
@@ -190,7 +197,7 @@
                 try:
                     await loop.sock_sendall(self.sock, chunk)
                 except OSError:
-                    return None
+                    return RelayEvent.CLIENT_RST  # the upstream pump may be blocked writing to the server
                 self.established.set()
             if self.migration and not self.line_buffer.is_within_line:
                 return RelayEvent.MIGRATION_POSSIBLE
--- a/tests/net/test_repeated_ids.py
+++ b/tests/net/test_repeated_ids.py
@@ -1,4 +1,4 @@
-"""Requests whose id comes again after its client has left."""
+"""Requests whose id comes again after its client has left, and lines that are left when a client resets."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 import pytest
 
+from glenrock.net.relay_pumps import BUFFER_BYTES
+
 from .rig import (
     ESTABLISHED_LINE,
     REQUEST_LINE,
@@ -20,6 +22,7 @@
 )
 from .settings import caps
 
+LINES = b"order\r\n" * 300_000
 KINDS_THAT_RUN_ONCE = ["keyed", "unsafe"]
 
 
@@ -92,3 +95,29 @@
         callback()
     rig.connect_client(REQUEST_LINE)
     await rig.accept_request("s1")
+
+
+async def test_lines_left_when_a_client_resets_are_not_passed_on(rig: LoopbackRig) -> None:
+    """Guards against requests that are sent on after their client has closed with much still unread (picture c)."""
+    await rig.open()
+    client, server_side = await rig.establish()
+    client.setblocking(True)
+    client.settimeout(0.2)
+    sent = 0
+    while sent < len(LINES):
+        try:
+            sent += client.send(LINES[sent:])
+        except TimeoutError:
+            break
+    close_socket(client, reset=True)
+    await rig.run_loop()
+    received, is_reset = 0, False
+    while not is_reset:
+        await rig.advance(10)
+        try:
+            received += len(server_side.recv(1 << 20))
+        except BlockingIOError:
+            continue
+        except ConnectionResetError:
+            is_reset = True
+    assert sent > BUFFER_BYTES and received == 0, "the reset came before the first read"
