A response of discovery with very many values is not parsed

Cause: 4 MiB of short JSON values become up to 100 MB of objects, and parsing them takes 50 ms of a turn, at each call.

Change: objects, arrays and values of a body are counted before it is parsed; too many make the response unusable.

The new test fails without the change, for each of four kinds of values.

--- a/glenrock/net/discovery_client.py
+++ b/glenrock/net/discovery_client.py
@@ -20,6 +20,8 @@
 HTTP_OK = 200
 MAX_RESPONSE_BYTES = 4 << 20  # of the body
 MAX_HEAD_BYTES = 65_536
+MAX_CONTAINERS = 16_400  # objects and arrays of a response: its rows, and the few around them
+MAX_VALUES = 262_144  # sixteen of each row
 CONTENT_LENGTH_PATTERN = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,12})[ \t]*\r\n", re.IGNORECASE)
 READ_BUFFER_BYTES = 16384
 # A connection that is closed sooner after a request had been closed by discovery while it was idle. A request that has
@@ -120,6 +122,16 @@
         self.keeps_alive = self.parser.should_keep_alive()
 
 
+def _check_structure(body: bytearray) -> None:
+    """Checks how many objects the parser would make of a body: short ones take twenty times their bytes.
+
+    Raises:
+        ValueError: there are too many.
+    """
+    if body.count(b"{") + body.count(b"[") > MAX_CONTAINERS or body.count(b",") > MAX_VALUES:
+        raise ValueError(f"the response has more than {MAX_CONTAINERS} objects or {MAX_VALUES} values")
+
+
 class DiscoveryClient:
     """Sends requests to discovery, one at a time, on a connection that stays open between them.
 
@@ -148,7 +160,7 @@
             DiscoveryClosedError: the connection was closed before the response.
             DiscoveryError: the response is too large, or the connection was closed within it.
             OSError: discovery cannot be reached.
-            ValueError: the body is not JSON.
+            ValueError: the body is not JSON, or has too many values.
         """
         response = await self._exchange(path, timeouts)
         if not response.keeps_alive:
@@ -158,6 +170,7 @@
             raise DiscoveryOverloadedError(f"status {status}: overloaded")
         if status != HTTP_OK:
             raise DiscoveryStatusError(f"status {status}")
+        _check_structure(response.body)
         return json.loads(bytes(response.body))
 
     async def run_with_timeout(self, timeout_ms: float, coroutine: Coroutine[None, None, Any]) -> Any:
--- a/tests/net/test_endpoint_watcher.py
+++ b/tests/net/test_endpoint_watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 
 import pytest
@@ -10,6 +11,7 @@
 from glenrock.net.discovery_client import MAX_HEAD_BYTES, DiscoveryError, HttpResponse
 from glenrock.net.endpoint_watcher import MAX_ROWS, POLL_BURST, parse_response
 
+from . import scripted_discovery
 from .scripted_discovery import Behavior, WatcherRig
 
 FEED_BYTES = 4096
@@ -50,6 +52,20 @@
         parse_response({"index": 1, "snapshot": True, "endpoints": [{}] * (MAX_ROWS + 1)})
 
 
+@pytest.mark.parametrize("value", [b"{}", b"[]", b"1", b'"x"'])
+async def test_response_of_very_many_short_values_is_not_parsed(
+    create_watcher_rig: Callable[..., WatcherRig], monkeypatch: pytest.MonkeyPatch, value: bytes
+) -> None:
+    """Guards against 4 MiB of short values, of which the parser makes up to 100 MB of objects (issue 58, picture a)."""
+    rig = create_watcher_rig(balancers=1)
+    body = b'{"index":9,"snapshot":true,"endpoints":[%s]}' % b",".join([value] * 300_000)
+    answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    monkeypatch.setattr(scripted_discovery, "http_response", lambda _body: answer)
+    monkeypatch.setattr(json, "loads", lambda _text: pytest.fail("parsed"))
+    await rig.run_for(1.0)
+    assert rig.discovery.calls and rig.watcher.backoff.unusable
+
+
 @pytest.mark.parametrize("part", [b"a: b\r\n", b"y"], ids=["fields", "one field"])
 def test_head_of_a_response_is_bounded(part: bytes) -> None:
     """Guards against a discovery whose head has no end (issue 58, picture a)."""
