--- a/glenrock/admin/listener.py
+++ b/glenrock/admin/listener.py
@@ -10,6 +10,7 @@
 from ..log import get_logger
 from ..net.clock import Clock
 from ..net.listening_socket import listen
+from ..net.rate_limit import RateLimit
 from ..net.socket_io import configure_socket
 from . import routes
 from .http_message import HttpRequest, HttpResponse
@@ -22,6 +23,8 @@
 MAX_LINGER_BYTES = 65_536
 READ_BUFFER_BYTES = 4096
 ACCEPT_RETRY_DELAY_MS = 20
+ACCEPT_INTERVAL_MS = 3.0  # between connections that come without a pause; those in between wait in the kernel
+ACCEPT_BURST = 32  # connections that are accepted at once
 
 logger = get_logger(__name__)
 
@@ -54,7 +57,10 @@
         if self.listening_socket is None:
             raise RuntimeError("accept() was called before listen()")
         loop = asyncio.get_running_loop()
+        limit = RateLimit(ACCEPT_INTERVAL_MS, ACCEPT_BURST)
         while True:
+            if delay_ms := limit.delay_ms(self._clock.now_ms()):
+                await self._clock.sleep(delay_ms)
             try:
                 sock, _ = await loop.sock_accept(self.listening_socket)
             except OSError as error:  # the connection was reset before it was accepted, or no descriptor is free
@@ -62,6 +68,7 @@
                 self._close_oldest()
                 await self._clock.sleep(ACCEPT_RETRY_DELAY_MS)
                 continue
+            limit.record(self._clock.now_ms())
             self._start_connection(loop, sock)
             # sock_accept does not yield to the event loop while connections are pending.
             await asyncio.sleep(0)
--- a/tests/admin/test_idle_callers.py
+++ b/tests/admin/test_idle_callers.py
@@ -1,4 +1,4 @@
-"""Operators' connections that send no request."""
+"""Operators' connections that send no request, or one request after the other without a pause."""
 
 from __future__ import annotations
 
@@ -7,7 +7,10 @@
 import uvloop
 from net.single_server_rig import SingleServerRig
 
-from glenrock.admin.listener import MAX_OPERATOR_CONNECTIONS
+from glenrock.admin.listener import ACCEPT_BURST, ACCEPT_INTERVAL_MS, MAX_OPERATOR_CONNECTIONS
+
+CALLERS = 8
+CALLS_S = 0.5
 
 
 async def call_beside_idle_connections() -> None:
@@ -34,3 +37,32 @@
 
 def test_idle_connections_use_few_descriptors_and_delay_no_call() -> None:
     uvloop.run(call_beside_idle_connections())
+
+
+async def count_calls_without_a_pause() -> tuple[int, float]:
+    """Returns the number of calls that were answered, and the seconds that they took."""
+    rig = SingleServerRig()
+    await rig.open()
+    assert rig.program.operators and rig.program.operators.listener.listening_socket
+    port = rig.program.operators.listener.listening_socket.getsockname()[1]
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+
+    async def call_repeatedly() -> int:
+        calls = 0
+        while loop.time() < began_s + CALLS_S:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /v1/readyz HTTP/1.1\r\n\r\n")
+            assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+            calls += 1
+        return calls
+
+    calls = sum(await asyncio.gather(*(call_repeatedly() for _ in range(CALLERS))))
+    return calls, loop.time() - began_s
+
+
+def test_calls_without_a_pause_are_accepted_at_a_limited_rate() -> None:
+    """Guards against operators' tools that take each turn of the event loop (issue 58, picture b)."""
+    calls, seconds = uvloop.run(count_calls_without_a_pause())
+    assert calls <= ACCEPT_BURST + seconds * 1000 / ACCEPT_INTERVAL_MS + 1
