--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -6,13 +6,13 @@
 import contextlib
 import random
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Protocol
 
 from ..log import get_logger
 from . import protocol
-from .clock import Clock, TimeLimit
-from .idle_connections import IdleConnections
+from .clock import Clock
+from .idle_connections import IdleConnections, IdleWait
 from .listening_socket import BACKLOG, ListeningSocket
 from .metrics import ConnectionMetrics, ConnectionOutcome, FinalAnswerReason
 from .rate_limit import RateLimit
@@ -198,17 +198,9 @@
         self.idle.mark_answered(_current_task())
         return not limit.has_expired
 
-    @contextlib.asynccontextmanager
-    async def _limit_wait(self, duration_ms: float) -> AsyncIterator[TimeLimit]:
+    def _limit_wait(self, duration_ms: float) -> IdleWait:
         """Limits a wait for a client that has sent no request. The wait also ends when its connection is shed."""
-        task = _current_task()
-        limit = self._clock.time_limit(duration_ms)
-        async with limit:
-            self.idle.start_waiting(task, limit)
-            try:
-                yield limit
-            finally:
-                self.idle.stop_waiting(task)
+        return IdleWait(self.idle, _current_task(), self._clock.time_limit(duration_ms))
 
     async def _read_line(self, sock: socket.socket, data: bytes, has_pinged: bool) -> bytes | None:
         """Returns all bytes once a line is complete or the timeout has expired; None if the client has left."""
--- a/glenrock/net/idle_connections.py
+++ b/glenrock/net/idle_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import TracebackType
 
 from ..log import get_logger
 from .clock import TimeLimit
@@ -113,3 +114,25 @@
         self._shed.add(task)
         if limit := self._wait_limits.get(task):
             limit.expire()
+
+
+class IdleWait:
+    """A context manager that limits one wait of an idle connection for its client, in time and by shedding."""
+
+    def __init__(self, idle: IdleConnections, task: ConnectionTask, limit: TimeLimit) -> None:
+        self._idle = idle
+        self._task = task
+        self._limit = limit
+
+    async def __aenter__(self) -> TimeLimit:
+        """Begins the wait, and returns its time limit."""
+        await self._limit.__aenter__()
+        self._idle.start_waiting(self._task, self._limit)
+        return self._limit
+
+    async def __aexit__(
+        self, exc_type: type[BaseException] | None, exc: BaseException | None, traceback: TracebackType | None
+    ) -> bool:
+        """Ends the wait. An expired limit ends the block without an error."""
+        self._idle.stop_waiting(self._task)
+        return await self._limit.__aexit__(exc_type, exc, traceback)
