Relayed lines cost less: no pattern without a load line, no coroutine without a wait

A part without the word LOAD is summarized without a pattern, a read that need not wait makes no coroutine, and the look for a reset is one call.

--- a/glenrock/net/line_gate.py
+++ b/glenrock/net/line_gate.py
@@ -123,6 +123,8 @@
     if not lines:
         return LineSummary()
     last_line = lines[lines.rfind(b"\n", 0, -1) + 1 :]
+    if _LOAD not in lines:
+        return LineSummary(last_line, has_other_line=True)
     from_start = b"\n" + lines
     start = from_start.rfind(_LOAD_LINE_START)
     load_lines = from_start.count(_LOAD_LINE_START)
--- a/glenrock/net/relay_pumps.py
+++ b/glenrock/net/relay_pumps.py
@@ -30,23 +30,19 @@
     """Limits the reads of one pump.
 
     Args:
-        clock: the clock of the process.
         shared: the limit of the reads of all pumps beyond their own.
     """
 
-    def __init__(self, clock: Clock, shared: RateLimit) -> None:
-        self._clock = clock
+    def __init__(self, shared: RateLimit) -> None:
         self._own = RateLimit(READ_INTERVAL_MS, READ_BURST)
         self._shared = shared
 
-    async def wait(self) -> None:
-        """Waits until the pump may read. Other relays are served meanwhile, and the bytes stay in the kernel."""
-        now_ms = self._clock.now_ms()
-        if not self._own.delay_ms(now_ms):
-            self._own.record(now_ms)
-            return
-        if delay_ms := self._shared.reserve(now_ms):
-            await self._clock.sleep(delay_ms)
+    def reserve(self, now_ms: float) -> float:
+        """Records a read, and returns how long it must wait. The bytes stay in the kernel until then."""
+        if self._own.delay_ms(now_ms):
+            return self._shared.reserve(now_ms)
+        self._own.record(now_ms)
+        return 0.0
 
 
 def create_shared_read_limit() -> RateLimit:
@@ -54,11 +50,6 @@
     return RateLimit(SHARED_READ_INTERVAL_MS, SHARED_READ_BURST)
 
 
-def _is_reset(hang_up: select.poll) -> bool:
-    """Returns whether a socket was reset, or has ended in both directions."""
-    return any(events & (select.POLLERR | select.POLLHUP) for _, events in hang_up.poll(0))
-
-
 class RelayPumps:
     """Owns the client's socket, and the server's once the connection is established.
 
@@ -148,13 +139,14 @@
         """
         loop = asyncio.get_running_loop()
         buffer = bytearray(BUFFER_BYTES)
-        limit = ReadLimit(self.clock, self._shared_read_limit)
+        limit = ReadLimit(self._shared_read_limit)
         hang_up = select.poll()
-        hang_up.register(self.sock, 0)  # reports errors and the end of both directions only
+        hang_up.register(self.sock, 0)  # reports only a reset, and the end of both directions
         while True:
             self.awaits_client = True
-            if self.server_sock is not None:  # bytes that are discarded must not keep the client from its last line
-                await limit.wait()
+            # Bytes that are discarded must not keep the client from its last line.
+            if self.server_sock is not None and (delay_ms := limit.reserve(self.clock.now_ms())):
+                await self.clock.sleep(delay_ms)
             count = await recv_into(loop, self.sock, buffer)
             self.awaits_client = False
             if not count:
@@ -165,7 +157,7 @@
             server_sock = self.server_sock
             if server_sock is None:  # already closed: bytes are discarded until the client ends
                 continue
-            if _is_reset(hang_up):
+            if hang_up.poll(0):
                 # The kernel still has what the client sent before. A reset is passed on at once, as a reset.
                 return RelayEvent.CLIENT_RST
             if self.unanswered_since_ms is None and b"\n" in buffer[:count]:
@@ -191,7 +183,7 @@
         chunk = self.process_server_bytes(attempt.received)
         attempt.received = b""
         buffer = bytearray(BUFFER_BYTES)
-        limit = ReadLimit(self.clock, self._shared_read_limit)
+        limit = ReadLimit(self._shared_read_limit)
         while True:
             if chunk:
                 try:
@@ -202,7 +194,8 @@
             if self.migration and not self.line_buffer.is_within_line:
                 return RelayEvent.MIGRATION_POSSIBLE
             self.awaits_server = True
-            await limit.wait()
+            if delay_ms := limit.reserve(self.clock.now_ms()):
+                await self.clock.sleep(delay_ms)
             count = await recv_into(loop, server_sock, buffer)
             self.awaits_server = False
             if count:
