--- a/glenrock/net/routing_actor.py
+++ b/glenrock/net/routing_actor.py
@@ -135,7 +135,8 @@
             wake_up = self._clock.call_at(at_ms, self.mailbox.wake)
         # A wake-up has no effect before `get_all` starts to wait. So if there are priority events or callbacks already,
         # the next batch must not wait for a message. A wake-up that comes later ends the wait in `get_all`.
-        batch = [] if self._priority_events or self._after_batch else await self.mailbox.get_all()
+        must_not_wait = self._priority_events or self._after_batch
+        batch = [] if must_not_wait and not self.mailbox.messages else await self.mailbox.get_all()
         if wake_up:
             wake_up.cancel()
         return batch
