A manual drain stays in force after SIGTERM, and has one owner

Cause: the state of a manual drain was kept in five places (the task of GracefulShutdown, three attributes of Acceptor, the drain mode of routing), and `stop` reset all of them as `activate` does, before it set what a shutdown needs.

Change: `DrainState` owns when the manual drain began, whether the process stops, and whether it answers its last connections; the answers to PING, requests, readyz and routing are derived from that. A shutdown changes nothing of the drain, and the drain's migration goes on beside that of the shutdown.

--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -12,6 +12,7 @@
 from ..log import get_logger
 from . import protocol
 from .clock import Clock
+from .drain_state import DrainState
 from .idle_connections import IdleConnections, IdleWait
 from .listening_socket import BACKLOG, ListeningSocket
 from .metrics import ConnectionMetrics, ConnectionOutcome, FinalAnswerReason
@@ -76,30 +77,25 @@
     Attributes:
         tasks: one for each open connection, until its end.
         idle: connections that have sent no request yet.
-        is_manually_draining: whether an operator drains this balancer; pings are then answered with a failure.
-        rejects_requests: whether new requests are rejected.
         drain_permit_check: returns whether the drain permit is valid, and ends the drain if it is not.
     """
 
-    def __init__(self, connections: Connections, clock: Clock) -> None:
+    def __init__(self, connections: Connections, clock: Clock, drain: DrainState) -> None:
         self.tasks: set[asyncio.Task[None]] = set()
         self.idle = IdleConnections()
-        self.is_manually_draining = False
-        self.rejects_requests = False
         self.drain_permit_check: Callable[[], bool] | None = None
         self._connections = connections
         self._clock = clock
+        self._drain = drain
         self._socket = ListeningSocket(clock, connections.metrics, self._add_connection, self.idle.shed_oldest)
-        self._is_closing = False  # set by close_idle
 
-    def check_drain_permit(self) -> bool:
-        """Ends the manual drain if its permit has expired, and returns False then.
+    def check_drain_permit(self) -> None:
+        """Ends the manual drain if its permit has expired.
 
         The process may have been paused past the end of its lease, so the permit is checked before each use.
         """
-        if not self.is_manually_draining or self.drain_permit_check is None:
-            return True
-        return self.drain_permit_check()
+        if self._drain.is_manually_draining and self.drain_permit_check is not None:
+            self.drain_permit_check()
 
     # -- the listening socket --------------------------------------------------------------------------
 
@@ -121,7 +117,7 @@
 
         The kernel has completed the handshakes of queued connections, and a reset would lose their requests.
         """
-        self.rejects_requests = self._is_closing = True
+        self._drain.begin_closing()
         self._socket.accept(BACKLOG)
         self.close()
         self.idle.stop_all_waiting()
@@ -192,7 +188,7 @@
     async def _answer_ping(self, sock: socket.socket) -> bool:
         """Answers a ping. Returns False if the client does not read the answer in time, or is shed meanwhile."""
         self.check_drain_permit()
-        line = protocol.FAILURE_LINE if self.is_manually_draining else protocol.PONG_LINE
+        line = protocol.FAILURE_LINE if self._drain.is_manually_draining else protocol.PONG_LINE
         async with self._limit_wait(PING_ANSWER_TIMEOUT_MS) as limit:
             await asyncio.get_running_loop().sock_sendall(sock, line)
         self.idle.mark_answered(_current_task())
@@ -220,7 +216,7 @@
         return data
 
     def _line_timeout_ms(self, has_pinged: bool) -> float:
-        if self._is_closing:
+        if self._drain.is_closing:
             return LAST_LINE_TIMEOUT_MS
         return IDLE_TIMEOUT_MS if has_pinged else FIRST_LINE_TIMEOUT_MS
 
@@ -235,7 +231,7 @@
             await self._send_final_answer(sock, self._rejection_line_with_jitter(), FinalAnswerReason.SHED)
             return
         line = protocol.rejection_line(self._connections.retry_after_ms) if has_only_pinged else protocol.FAILURE_LINE
-        reason = FinalAnswerReason.DRAINING if self._is_closing else FinalAnswerReason.TIMED_OUT
+        reason = FinalAnswerReason.DRAINING if self._drain.is_closing else FinalAnswerReason.TIMED_OUT
         await self._send_final_answer(sock, line, reason)
 
     async def _parse_request(self, sock: socket.socket, data: bytes) -> protocol.RequestLine | None:
@@ -253,13 +249,14 @@
 
     async def _admit(self, sock: socket.socket, request_line: protocol.RequestLine) -> bool:
         """Returns whether the request may go to routing. Rejects it during a drain and at the descriptor limit."""
-        is_rejecting = self.check_drain_permit() and self.rejects_requests
+        self.check_drain_permit()
+        is_rejecting = self._drain.rejects_requests
         if not is_rejecting and not self._connections.is_full():
             return await self._claim(sock, request_line)
-        if not self.rejects_requests:
+        if not is_rejecting:
             logger.warning("request rejected: descriptor limit reached", request_id=request_line.request_id)
         self._connections.record_outcome(ConnectionOutcome.THROTTLED, request_line.class_name)
-        reason = FinalAnswerReason.DRAINING if self.rejects_requests else FinalAnswerReason.DESCRIPTORS
+        reason = FinalAnswerReason.DRAINING if is_rejecting else FinalAnswerReason.DESCRIPTORS
         await self._send_final_answer(sock, self._rejection_line_with_jitter(), reason)
         return False
 
--- a/glenrock/net/graceful_shutdown.py
+++ b/glenrock/net/graceful_shutdown.py
@@ -10,16 +10,15 @@
 from glenrock.routing import interface
 
 from ..log import get_logger
-from ..operation_errors import OperationRejectedError
 from .acceptor import Acceptor
 from .client_connection import ClientConnection
 from .clock import Clock
 from .connection_messages import DrainConnection, HandOverRelay, MigrateClient
 from .connection_table import ConnectionTable
+from .drain_state import DrainState
 
 DRAIN_STEP_MS = 50.0  # between two steps of a drain
 FRONT_END_NOTICE_MS = 450.0  # until the front end sends no new clients here; before, it may send migrated ones back
-MANUAL_REJECT_AFTER_MS = 1000.0  # from the start of a manual drain to the first rejection; the front end knows by then
 MANUAL_DRAIN_MS = 3000.0  # from the start of a manual drain until all clients have been asked to migrate
 SIGKILL_AFTER_DEADLINE_MS = 700.0  # SIGKILL follows SIGTERM after the longest deadline of a class plus this
 SHUTDOWN_MARGIN_MS = 500.0  # from the end of the migration to SIGKILL
@@ -60,24 +59,19 @@
 class GracefulShutdown:
     """Migrates all clients away from this balancer."""
 
-    def __init__(self, table: ConnectionTable, acceptor: Acceptor, clock: Clock) -> None:
+    def __init__(self, table: ConnectionTable, acceptor: Acceptor, clock: Clock, state: DrainState) -> None:
         self._table = table
         self._acceptor = acceptor
         self._clock = clock
+        self._state = state
         self._manual_drain: asyncio.Task[None] | None = None
-        self._is_stopping = False
-
-    def unready_reason(self) -> str | None:
-        """Returns why the front end should send no new clients here; None if it may.
-
-        Clients that still connect are served for a while.
-        """
-        if self._is_stopping:
-            return "not ready: stopping"
-        return "not ready: draining" if self._manual_drain else None
 
     # -- manual drain ----------------------------------------------------------------------------------
 
+    def unready_reason(self) -> str | None:
+        """Returns why the front end should send no new clients here; None if it may."""
+        return self._state.unready_reason()
+
     def start_manual_drain(self, drain_permit_is_valid: Callable[[], bool] | None = None) -> None:
         """Starts to migrate all clients, until `end_manual_drain`.
 
@@ -88,13 +82,11 @@
         Raises:
             OperationRejectedError: the process is stopping.
         """
-        self._reject_while_stopping()
-        if not self._manual_drain:
+        started_ms = self._clock.now_ms()
+        if self._state.begin_manual(started_ms):
             logger.info("drain started", clients=len(self._table.by_id))
-            self._acceptor.is_manually_draining = True
             self._acceptor.drain_permit_check = drain_permit_is_valid
-            self._table.routing.post_priority_event(interface.DrainMode(True))
-            self._manual_drain = asyncio.get_running_loop().create_task(self._drain())
+            self._manual_drain = asyncio.get_running_loop().create_task(self._drain(started_ms))
 
     def end_manual_drain(self) -> None:
         """Ends the manual drain: clients are accepted again.
@@ -102,33 +94,22 @@
         Raises:
             OperationRejectedError: the process is stopping.
         """
-        self._reject_while_stopping()
-        if self._manual_drain:
+        if self._state.end_manual():
             logger.info("drain ended: clients are accepted again")
-            self._cancel_manual_drain()
-
-    def _reject_while_stopping(self) -> None:
-        if self._is_stopping:
-            raise OperationRejectedError("not done: the process is stopping")
-
-    def _cancel_manual_drain(self) -> None:
         if self._manual_drain:
             self._manual_drain.cancel()
-            self._table.routing.post_priority_event(interface.DrainMode(False))
-        self._manual_drain = None
-        self._acceptor.is_manually_draining = False
-        self._acceptor.rejects_requests = False
+            self._manual_drain = None
 
-    async def _drain(self) -> None:
-        """Migrates clients evenly over `MANUAL_DRAIN_MS`, and later ones at once, until the drain ends."""
-        started_ms = self._clock.now_ms()
+    async def _drain(self, started_ms: float) -> None:
+        """Migrates clients evenly over `MANUAL_DRAIN_MS`, and later ones at once, until the drain ends.
+
+        The steps go on in a shutdown, whose own migration may take longer.
+        """
         end_ms = started_ms + MANUAL_DRAIN_MS
         await self._clock.sleep(FRONT_END_NOTICE_MS)
         while True:
-            if not self._acceptor.check_drain_permit():
-                return
+            self._acceptor.check_drain_permit()
             now_ms = self._clock.now_ms()
-            self._acceptor.rejects_requests = now_ms >= started_ms + MANUAL_REJECT_AFTER_MS
             self._migrate_step(end_ms - now_ms)
             if now_ms >= end_ms:
                 self._answer_waiting_clients()
@@ -166,11 +147,11 @@
             D + 0.2 s    the migration ends: idle connections and waiting requests get their answers
             D + 0.45 s   the process exits at the latest; earlier if it accepts no connections and has none
             D + 0.7 s    SIGKILL
+
+        A manual drain stays in force, so its answers to clients and its migration go on.
         """
-        self._is_stopping = True
-        self._cancel_manual_drain()
+        self._state.begin_stopping()
         routing = self._table.routing
-        routing.post_priority_event(interface.DrainMode(True))
         end_ms = self._end_ms()
         if has_inherited_listener:
             self._acceptor.close()
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -18,6 +18,7 @@
 from .net.clock import Clock
 from .net.connection_table import ConnectionTable
 from .net.descriptor_budget import DescriptorBudget, DescriptorBudgetError
+from .net.drain_state import DrainState
 from .net.endpoint_watcher import EndpointWatcher
 from .net.graceful_shutdown import GracefulShutdown
 from .net.listening_socket import listen
@@ -223,8 +224,9 @@
         self.connections = ConnectionTable(
             self.routing, self.servers, clock, self.budget, config.measures_delay, metrics, _open_history(config)
         )
-        self.acceptor = Acceptor(self.connections, clock)
-        self.shutdown = GracefulShutdown(self.connections, self.acceptor, clock)
+        self.drain = DrainState(clock, self.routing.post_priority_event)
+        self.acceptor = Acceptor(self.connections, clock, self.drain)
+        self.shutdown = GracefulShutdown(self.connections, self.acceptor, clock, self.drain)
         self.operators = OperatorInterface(self) if config.admin else None
         self.routing.send_health_check = self.servers.send_health_check
         self.peers = self._create_peers(config)
