A manual drain outlasts its drain permit, which is requested again

Cause: DrainLimiter ended the drain with the permit, so that never more drain than there are permits, and the acceptor asked it before each answer. The promise given first is the operator's: no yes until `activate`.

Change: a lost permit is requested again while the drain goes on, and stopped by `activate`; the drain does not change. The acceptor asks no more. A late grant that nobody wants is released at once. A second call of a drained balancer changes nothing.

--- a/glenrock/admin/coordination_parts.py
+++ b/glenrock/admin/coordination_parts.py
@@ -32,10 +32,6 @@
         """
         ...
 
-    def drain_permit_is_valid(self) -> bool:
-        """Returns whether this balancer holds a permit now."""
-        ...
-
     def release_permit(self) -> None:
         """Releases the permit, if this balancer holds one."""
         ...
--- a/glenrock/admin/operations.py
+++ b/glenrock/admin/operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..net.connection_table import ConnectionTable
+from ..net.drain_state import DrainState
 from ..net.graceful_shutdown import GracefulShutdown
 from ..net.routing_actor import RoutingActor
 from ..net.server_connections import ServerRegistry
@@ -25,6 +26,7 @@
         servers: ServerRegistry,
         connections: ConnectionTable,
         shutdown: GracefulShutdown,
+        drain_state: DrainState,
         override_sync: OverrideSync,
     ) -> None:
         self.is_serving = False
@@ -33,11 +35,12 @@
         self._servers = servers
         self._connections = connections
         self._shutdown = shutdown
+        self._drain_state = drain_state
         self._override_sync = override_sync
 
     def unready_reason(self) -> str | None:
         """Returns why front ends should send no new clients to this balancer; None if they may."""
-        return self._shutdown.unready_reason() if self.is_serving else "not ready: starting"
+        return self._drain_state.unready_reason() if self.is_serving else "not ready: starting"
 
     def metrics(self) -> MetricsSnapshot:
         """Returns the metrics at this moment."""
@@ -90,9 +93,9 @@
             OperationRejectedError: no drain permit is free, or the process is stopping.
         """
         permits = self._drain_permits()
-        if permits:
+        if permits and not self._drain_state.is_manually_draining:
             await permits.acquire_permit()
-        self._shutdown.start_manual_drain(permits.drain_permit_is_valid if permits else None)
+        self._shutdown.start_manual_drain()
 
     async def activate(self) -> None:
         """Ends the drain, and releases the drain permit.
--- a/glenrock/coordination/drain_limiter.py
+++ b/glenrock/coordination/drain_limiter.py
@@ -1,14 +1,15 @@
 """Limits how many balancers drain at a time on operators' calls. A drain permit is a lease that a balancer holds.
 
-A balancer whose drain permit has expired stops draining and accepts clients again. A permit is not released when the
-process ends, so that it covers a restart: the next incarnation releases it once it serves clients. If none does, the
-permit expires.
+A balancer that loses its drain permit stays drained, since its front end has been told so, and goes on requesting the
+permit. Until it has it again, more balancers may drain than there are permits.
+
+A permit is not released when the process ends, so that it covers a restart: the next incarnation releases it once it
+serves clients. If none does, the permit expires.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 from ..log import get_logger
 from ..operation_errors import OperationRejectedError
@@ -37,10 +38,12 @@
 
     Attributes:
         permit_job: the job of the permit that is held; None if there is none.
+        lost_job: the job of a permit that was lost in a drain, and is requested again; None if there is none.
     """
 
     def __init__(self, context: CoordinationContext, max_permits: int) -> None:
         self.permit_job: str | None = None
+        self.lost_job: str | None = None
         self._context = context
         self._leases = context.leases
         self._stored_permits = context.state.permits
@@ -79,15 +82,10 @@
                     return
             raise OperationRejectedError(self._rejection_reason(leases))
 
-    def drain_permit_is_valid(self) -> bool:
-        """Returns whether a permit is held. Ends the drain if the lease of its permit has expired."""
-        if self.permit_job and self._leases.current_term(self.permit_job) is None:
-            self._lose_permit(self.permit_job, LossReason.EXPIRED)
-        return self.permit_job is not None
-
     def release_permit(self) -> None:
-        """Releases the permit if one is held."""
-        job, self.permit_job = self.permit_job, None
+        """Releases the permit if one is held, and stops requesting one that was lost."""
+        job = self.permit_job or self.lost_job
+        self.permit_job = self.lost_job = None
         if job:
             self._stored_permits.pop(job, None)
             self._context.tasks.run(self._context.state.write())
@@ -124,13 +122,17 @@
         if not is_acquired or term is None:
             self._leases.step_down(job)
             return False
-        self._stored_permits[job] = StoredPermit(self._context.holder, term)
-        self.permit_job = job
-        if await self._context.state.write() and self.drain_permit_is_valid():
+        self._hold_permit(job, term)
+        if await self._context.state.write() and self._leases.current_term(job) == term:
             return True
         self.release_permit()
         return False
 
+    def _hold_permit(self, job: str, term: int) -> None:
+        self._stored_permits[job] = StoredPermit(self._context.holder, term)
+        self.permit_job = job
+        self.lost_job = None
+
     # -- events of the lease ---------------------------------------------------------------------------
 
     def _on_answer(self, job: str) -> None:
@@ -141,14 +143,26 @@
     def _on_lease_event(self, job: str, event: LeaseAcquired | LeaseLost) -> None:
         if isinstance(event, LeaseLost) and job == self.permit_job:
             self._lose_permit(job, event.reason)
+        elif isinstance(event, LeaseAcquired) and job == self.lost_job:
+            self._regain_permit(job, event.term)
+        elif isinstance(event, LeaseAcquired) and job in self._jobs and job not in self._pending_answers:
+            self._leases.step_down(job)  # granted after the drain had ended, or after the call was rejected
 
     def _lose_permit(self, job: str, reason: LossReason) -> None:
-        """Ends the drain, since another balancer may acquire the permit now."""
-        logger.warning("drain permit lost", job=job, reason=reason)
-        self._leases.stop_requesting(job)
+        """Requests the permit again if the drain goes on: only an operator ends a drain."""
+        drain = self._context.host.drain
+        goes_on = drain.is_manually_draining and not drain.is_stopping
+        logger.warning("drain permit lost", job=job, reason=reason, requested_again=goes_on)
         self.permit_job = None
-        with contextlib.suppress(OperationRejectedError):  # raised if the process is stopping
-            self._context.host.shutdown.end_manual_drain()
+        if goes_on:
+            self.lost_job = job
+        else:
+            self._leases.stop_requesting(job)
+
+    def _regain_permit(self, job: str, term: int) -> None:
+        logger.info("drain permit acquired again", job=job, term=term)
+        self._hold_permit(job, term)
+        self._context.tasks.run(self._context.state.write())
 
     # -- tasks -----------------------------------------------------------------------------------------
 
--- a/glenrock/coordination/host.py
+++ b/glenrock/coordination/host.py
@@ -9,6 +9,7 @@
 from ..net.acceptor import Acceptor
 from ..net.clock import Clock
 from ..net.connection_table import ConnectionTable
+from ..net.drain_state import DrainState
 from ..net.endpoint_watcher import EndpointWatcher
 from ..net.graceful_shutdown import GracefulShutdown
 from ..net.peers import Peers
@@ -43,6 +44,7 @@
     connections: ConnectionTable
     acceptor: Acceptor
     shutdown: GracefulShutdown
+    drain: DrainState
     peers: Peers | None
 
     @property
--- a/glenrock/net/acceptor.py
+++ b/glenrock/net/acceptor.py
@@ -6,7 +6,6 @@
 import contextlib
 import random
 import socket
-from collections.abc import Callable
 from typing import Protocol
 
 from ..log import get_logger
@@ -77,26 +76,16 @@
     Attributes:
         tasks: one for each open connection, until its end.
         idle: connections that have sent no request yet.
-        drain_permit_check: returns whether the drain permit is valid, and ends the drain if it is not.
     """
 
     def __init__(self, connections: Connections, clock: Clock, drain: DrainState) -> None:
         self.tasks: set[asyncio.Task[None]] = set()
         self.idle = IdleConnections()
-        self.drain_permit_check: Callable[[], bool] | None = None
         self._connections = connections
         self._clock = clock
         self._drain = drain
         self._socket = ListeningSocket(clock, connections.metrics, self._add_connection, self.idle.shed_oldest)
 
-    def check_drain_permit(self) -> None:
-        """Ends the manual drain if its permit has expired.
-
-        The process may have been paused past the end of its lease, so the permit is checked before each use.
-        """
-        if self._drain.is_manually_draining and self.drain_permit_check is not None:
-            self.drain_permit_check()
-
     # -- the listening socket --------------------------------------------------------------------------
 
     @property
@@ -187,7 +176,6 @@
 
     async def _answer_ping(self, sock: socket.socket) -> bool:
         """Answers a ping. Returns False if the client does not read the answer in time, or is shed meanwhile."""
-        self.check_drain_permit()
         line = protocol.FAILURE_LINE if self._drain.is_manually_draining else protocol.PONG_LINE
         async with self._limit_wait(PING_ANSWER_TIMEOUT_MS) as limit:
             await asyncio.get_running_loop().sock_sendall(sock, line)
@@ -249,7 +237,6 @@
 
     async def _admit(self, sock: socket.socket, request_line: protocol.RequestLine) -> bool:
         """Returns whether the request may go to routing. Rejects it during a drain and at the descriptor limit."""
-        self.check_drain_permit()
         is_rejecting = self._drain.rejects_requests
         if not is_rejecting and not self._connections.is_full():
             return await self._claim(sock, request_line)
--- a/glenrock/net/graceful_shutdown.py
+++ b/glenrock/net/graceful_shutdown.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-from collections.abc import Callable
 from typing import Protocol
 
 from glenrock.routing import interface
@@ -68,24 +67,15 @@
 
     # -- manual drain ----------------------------------------------------------------------------------
 
-    def unready_reason(self) -> str | None:
-        """Returns why the front end should send no new clients here; None if it may."""
-        return self._state.unready_reason()
-
-    def start_manual_drain(self, drain_permit_is_valid: Callable[[], bool] | None = None) -> None:
+    def start_manual_drain(self) -> None:
         """Starts to migrate all clients, until `end_manual_drain`.
 
-        Args:
-            drain_permit_is_valid: called before each step of this drain. Returns whether the permit is valid, and ends
-                the drain if it is not.
-
         Raises:
             OperationRejectedError: the process is stopping.
         """
         started_ms = self._clock.now_ms()
         if self._state.begin_manual(started_ms):
             logger.info("drain started", clients=len(self._table.by_id))
-            self._acceptor.drain_permit_check = drain_permit_is_valid
             self._manual_drain = asyncio.get_running_loop().create_task(self._drain(started_ms))
 
     def end_manual_drain(self) -> None:
@@ -108,7 +98,6 @@
         end_ms = started_ms + MANUAL_DRAIN_MS
         await self._clock.sleep(FRONT_END_NOTICE_MS)
         while True:
-            self._acceptor.check_drain_permit()
             now_ms = self._clock.now_ms()
             self._migrate_step(end_ms - now_ms)
             if now_ms >= end_ms:
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -71,7 +71,12 @@
 
         self.override_sync = OverrideSync(program.config.shared_folder, program.clock, program.servers, program.routing)
         self.operations = Operations(
-            program.routing, program.servers, program.connections, program.shutdown, self.override_sync
+            program.routing,
+            program.servers,
+            program.connections,
+            program.shutdown,
+            program.drain,
+            self.override_sync,
         )
         self.listener = Listener(self.operations, program.clock)
         program.budget.operator_descriptors = RESERVED_DESCRIPTORS
--- a/tests/coordination/rig.py
+++ b/tests/coordination/rig.py
@@ -26,6 +26,7 @@
 from glenrock.net.acceptor import Acceptor
 from glenrock.net.clock import Clock, ManualClock
 from glenrock.net.connection_table import ConnectionTable
+from glenrock.net.drain_state import DrainState
 from glenrock.net.endpoint_watcher import EndpointWatcher
 from glenrock.net.graceful_shutdown import GracefulShutdown
 from glenrock.net.metrics import ConnectionMetrics
@@ -51,6 +52,7 @@
     connections: ConnectionTable = field(init=False)
     acceptor: Acceptor = field(init=False)
     shutdown: GracefulShutdown = field(init=False)
+    drain: DrainState = field(init=False)
     peers: Peers | None = None
     operators: OperatorParts | None = None
 
