Refactor: a module for a process's part in upgrades, and one for the Unix sockets

Cause: the composition root held the class that shares the listening socket and hands relays over, and the next commits need a second Unix socket beside that of the relays, with the same long-path handling.

--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import resource
 from collections.abc import Callable, Coroutine
@@ -32,7 +31,7 @@
 
 if TYPE_CHECKING:
     from .coordination.agent import CoordinationAgent
-    from .upgrade.relay_sender import RelaySender
+    from .upgrade.process_upgrade import ProcessUpgrade
 
 FIRST_LIST_TIMEOUT_MS = 300.0
 SUCCESSOR_LIST_TIMEOUT_MS = 3000.0  # the predecessor serves clients meanwhile, and a new process is due within 6 s
@@ -97,67 +96,6 @@
             program.start_task(self.override_sync.watch())
 
 
-class Upgrade:
-    """Shares the listening socket with this process's predecessor and successor, and hands relays over.
-
-    Attributes:
-        listener: the inherited listening socket.
-
-    Args:
-        program: the balancer of this process.
-        descriptor: the descriptor of the inherited listening socket.
-    """
-
-    def __init__(self, program: Program, descriptor: int) -> None:
-        from .upgrade.inherited_listener import open_inherited
-
-        self.listener = open_inherited(descriptor)
-        self._program = program
-        self._folder = program.config.shared_folder
-        if self._folder:
-            from .upgrade.process_registry import ProcessRegistry
-            from .upgrade.relay_receiver import RelayReceiver
-
-            self._relay_receiver = RelayReceiver(self._folder, program.connections)
-            self._processes = ProcessRegistry(self._folder, os.getpid())
-
-    def register_process(self) -> None:
-        """Registers this process, and reserves the descriptors that the other processes have open."""
-        if not self._folder:
-            return
-        try:
-            self._processes.register()
-        except OSError as error:
-            logger.warning("process not registered: the descriptor limit may be exceeded", error=error)
-        connections = self._program.connections
-        connections.count_other_descriptors = self._processes.count_other_descriptors
-        connections.budget.other_process_descriptors = self._processes.count_other_descriptors()
-
-    @property
-    def has_predecessor(self) -> bool:
-        """Whether another process of this balancer ran when this one registered."""
-        return self._program.connections.budget.other_process_descriptors > 0
-
-    def receive_relays(self) -> None:
-        """Starts to accept the relays that the predecessor hands over."""
-        if self._folder:
-            self._relay_receiver.listen()
-
-    def create_relay_sender(self) -> RelaySender | None:
-        """Returns the part that hands this process's relays to its successor; None without a shared folder."""
-        if not self._folder:
-            return None
-        from .upgrade.relay_sender import RelaySender
-
-        program = self._program
-        return RelaySender(self._folder, program.clock, self._relay_receiver.socket_inode, program.routing.load_of)
-
-    def unregister_process(self) -> None:
-        """Removes this process's registration, so that other processes no longer count its descriptors."""
-        if self._folder:
-            self._processes.unregister()
-
-
 def _create_coordination_agent(program: Program) -> CoordinationAgent:
     """Returns the agent that coordinates this balancer with others. Its modules are imported only if it is configured.
 
@@ -175,6 +113,17 @@
     return agent
 
 
+def _create_upgrade(program: Program, descriptor: int) -> ProcessUpgrade:
+    """Returns this process's part in upgrades. Its modules are imported only if a listening socket is inherited.
+
+    Raises:
+        ConfigError: the descriptor is not a listening TCP socket.
+    """
+    from .upgrade.process_upgrade import ProcessUpgrade
+
+    return ProcessUpgrade(program.config.shared_folder, descriptor, program.connections, program.routing, program.clock)
+
+
 def _create_poll_backoff(config: Config) -> PollBackoff:
     settings = config.settings
     rng = random.Random(config.seed ^ POLL_SEED_MASK)  # noqa: S311 - jitter, not a secret
@@ -239,7 +188,7 @@
         self.coordination = _create_coordination_agent(self) if config.fleet else None
         self._initial_config = config
         self._tasks: set[asyncio.Task[None]] = set()
-        self._upgrade = Upgrade(self, config.accept_fd) if config.accept_fd is not None else None
+        self._upgrade = _create_upgrade(self, config.accept_fd) if config.accept_fd is not None else None
 
     def _check_budget(self) -> None:
         """Raises ConfigError if the descriptor limit is too low to serve a single client."""
--- a/glenrock/upgrade/relay_message.py
+++ b/glenrock/upgrade/relay_message.py
@@ -7,11 +7,8 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
-import os
 import socket
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from ..net import protocol
@@ -25,7 +22,6 @@
 DESCRIPTORS_PER_MESSAGE = 2  # the client's, then the server's
 ACCEPTED = b"taken"
 REJECTED = b"refused"
-MAX_SOCKET_PATH_BYTES = 100  # sun_path has 108 bytes (unix(7))
 
 # The keys of a message and the type of each value. The two processes of an upgrade may run different releases, so a
 # change of a key needs a new `VERSION`: a message of another version is rejected, and its client migrates.
@@ -143,21 +139,3 @@
     connection.reports.load = message.load
     connection.take_over(message.server_id, server)
     return connection
-
-
-@contextlib.contextmanager
-def socket_address(folder: str) -> Iterator[str]:
-    """Yields the path of the socket, or a short path through /proc if that path exceeds `MAX_SOCKET_PATH_BYTES`.
-
-    Raises:
-        OSError: the folder cannot be opened.
-    """
-    path = os.path.join(folder, SOCKET_NAME)
-    if len(path.encode()) <= MAX_SOCKET_PATH_BYTES:
-        yield path
-        return
-    descriptor = os.open(folder, os.O_PATH | os.O_DIRECTORY)
-    try:
-        yield f"/proc/self/fd/{descriptor}/{SOCKET_NAME}"
-    finally:
-        os.close(descriptor)
--- a/glenrock/upgrade/relay_receiver.py
+++ b/glenrock/upgrade/relay_receiver.py
@@ -18,10 +18,11 @@
     DESCRIPTORS_PER_MESSAGE,
     MAX_MESSAGE_BYTES,
     REJECTED,
+    SOCKET_NAME,
     RelayMessageError,
     decode_relay,
-    socket_address,
 )
+from .unix_socket import listen
 
 LISTEN_BACKLOG = 4
 MAX_PREDECESSORS = 4  # connections at once; further ones are closed
@@ -57,14 +58,7 @@
     def listen(self) -> None:
         """Starts to take over relays. If the socket cannot be bound, the predecessor migrates its clients instead."""
         try:
-            sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-            sock.setblocking(False)
-            with socket_address(self._folder) as path:
-                with contextlib.suppress(FileNotFoundError):
-                    os.unlink(path)
-                sock.bind(path)
-                self.socket_inode = os.stat(path).st_ino
-            sock.listen(LISTEN_BACKLOG)
+            sock, self.socket_inode = listen(self._folder, SOCKET_NAME, LISTEN_BACKLOG)
         except OSError as error:
             logger.warning("relays cannot be taken over", error=error)
             return
--- a/glenrock/upgrade/relay_sender.py
+++ b/glenrock/upgrade/relay_sender.py
@@ -11,7 +11,8 @@
 from ..net.client_connection import ClientConnection
 from ..net.clock import Clock
 from ..net.socket_io import recv_into
-from .relay_message import ACCEPTED, encode_relay, socket_address
+from .relay_message import ACCEPTED, SOCKET_NAME, encode_relay
+from .unix_socket import create_unix_socket, socket_address
 
 ANSWER_TIMEOUT_MS = 1000.0
 MAX_ANSWER_BYTES = 64
@@ -54,7 +55,7 @@
 
     def connect(self) -> bool:
         """Connects to the successor. Returns False if there is none."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        sock = create_unix_socket()
         try:
             self._connect(sock)
         except OSError as error:
@@ -65,10 +66,9 @@
         return True
 
     def _connect(self, sock: socket.socket) -> None:
-        with socket_address(self._folder) as path:
+        with socket_address(self._folder, SOCKET_NAME) as path:
             if os.stat(path).st_ino == self._own_inode:
                 raise SuccessorNotFoundError("no successor")
-            sock.setblocking(False)
             sock.connect(path)
 
     async def hand_over(self, connection: ClientConnection) -> bool:
