The new process of an upgrade starts with the endpoint list of the old one

Cause: the processes of an upgrade shared overrides and ids, and handed over relays, but not the list; the successor started with `known` of the configuration, which is as old as that file.

Change: the predecessor tells its list, with version, statuses and servers that are gone, over a second Unix socket in the shared folder, in typed, versioned, bounded messages; the successor uses it before its first yes if it is whole and not older than `known`, and is then ready without a wait for discovery.

--- a/glenrock/coordination/warm_start/start_record.py
+++ b/glenrock/coordination/warm_start/start_record.py
@@ -15,7 +15,7 @@
 
 from glenrock.routing.connection_load import LoadMean
 
-from ...net.endpoint_rows import EndpointRow
+from ...net.endpoint_rows import EndpointRow, encode_row
 
 MAGIC = b"glenrock-start"
 VERSION = 1
@@ -83,19 +83,7 @@
 
 def encode_table(version: int, rows: Iterable[EndpointRow]) -> EndpointTable:
     """Returns an endpoint list in the JSON format of service discovery."""
-    return {"index": version, "snapshot": True, "endpoints": [_encode_row(row) for row in rows]}
-
-
-def _encode_row(row: EndpointRow) -> dict[str, Any]:
-    return {
-        "name": row.name,
-        "address": str(row.address),
-        "zone": row.zone,
-        "group": row.group,
-        "status": row.status,
-        "weight": row.weight,
-        "since_ms": row.since_ms,
-    }
+    return {"index": version, "snapshot": True, "endpoints": [encode_row(row) for row in rows]}
 
 
 def table_version(table: EndpointTable) -> int:
--- a/glenrock/net/endpoint_rows.py
+++ b/glenrock/net/endpoint_rows.py
@@ -47,6 +47,19 @@
         return STATUS_BY_STATE[self.state]
 
 
+def encode_row(row: EndpointRow) -> dict[str, Any]:
+    """Returns a row as a JSON object in discovery's form."""
+    return {
+        "name": row.name,
+        "address": str(row.address),
+        "zone": row.zone,
+        "group": row.group,
+        "status": row.status,
+        "weight": row.weight,
+        "since_ms": row.since_ms,
+    }
+
+
 def parse_row(raw: dict[str, Any]) -> EndpointRow:
     """Parses a row from a JSON object.
 
--- a/glenrock/net/endpoint_watcher.py
+++ b/glenrock/net/endpoint_watcher.py
@@ -160,6 +160,20 @@
             # Watching from the cached version costs one call. Polling the whole list first would cost two.
             self._watch_version = self.newest_version = response.version
 
+    def use_predecessor_list(self, version: int | None, kind: EndpointListKind, rows: list[EndpointRow]) -> None:
+        """Uses the list of the process that this one replaces in an upgrade, until discovery responds.
+
+        Args:
+            version: the version of the list at the present discovery; None if it is unknown.
+            kind: whether discovery has reported the list, or the predecessor had it from its own start.
+            rows: the rows of the list, with those of servers that are gone.
+        """
+        self._on_endpoints(kind, rows)
+        if version is not None:
+            self.newest_version = version
+            if self.backoff.must_poll:
+                self._watch_version = version
+
     def change_address(self, address: Address) -> None:
         """Polls discovery at another address. The present list is used until the first response."""
         if address == self.address:
--- a/glenrock/net/socket_io.py
+++ b/glenrock/net/socket_io.py
@@ -63,6 +63,16 @@
         loop.remove_reader(sock)
 
 
+async def wait_writable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+    """Waits until the socket takes bytes, or the other side has closed or reset it."""
+    ready = loop.create_future()
+    loop.add_writer(sock, _wake, ready)
+    try:
+        await ready
+    finally:
+        loop.remove_writer(sock)
+
+
 def _wake(ready: asyncio.Future[None]) -> None:
     if not ready.done():
         ready.set_result(None)
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -119,9 +119,10 @@
     Raises:
         ConfigError: the descriptor is not a listening TCP socket.
     """
-    from .upgrade.process_upgrade import ProcessUpgrade
+    from .upgrade.process_upgrade import BalancerParts, ProcessUpgrade
 
-    return ProcessUpgrade(program.config.shared_folder, descriptor, program.connections, program.routing, program.clock)
+    parts = BalancerParts(program.connections, program.routing, program.servers, program.endpoints, program.clock)
+    return ProcessUpgrade(program.config.shared_folder, descriptor, program.config.name, parts)
 
 
 def _create_poll_backoff(config: Config) -> PollBackoff:
@@ -224,7 +225,7 @@
         self._tasks.add(asyncio.get_running_loop().create_task(coroutine, name=name))
 
     async def start(self) -> None:
-        """Starts all parts, and accepts clients after the first endpoint list or a timeout.
+        """Starts all parts, and accepts clients after the first reported endpoint list or a timeout.
 
         Raises:
             OSError: an address cannot be bound.
@@ -235,18 +236,36 @@
             self.operators.start(self)
         if self.coordination:
             self.coordination.start()
-        self.endpoints.use_cached_list(self.config.raw_cached_endpoints)
+        has_reported_list = await self._use_first_list()
         self.start_task(self.routing.run())
         is_successor = self._upgrade is not None and self._upgrade.has_predecessor
         self.start_task(self.endpoints.run(is_successor=is_successor))
-        # Clients are accepted after the first list: the PONG that answers a client's PING says that this balancer can
-        # serve. What the predecessor was told also binds its successor, and the cached list may be older. An agent
-        # answers at once or is silent; a service for all balancers may need longer.
+        if not has_reported_list:
+            await self._wait_for_list(is_successor)
+        self._accept_clients()
+        logger.info("ready", balancer=self.config.name, address=self.config.listen)
+
+    async def _use_first_list(self) -> bool:
+        """Uses the predecessor's endpoint list in an upgrade, or else the configured one, until discovery responds.
+
+        Returns:
+            Whether discovery has reported the list, to this process or its predecessor.
+        """
+        configured = self.config.raw_cached_endpoints
+        if self._upgrade is None or not await self._upgrade.use_predecessor_list(configured):
+            self.endpoints.use_cached_list(configured)
+        return self.servers.has_list
+
+    async def _wait_for_list(self, is_successor: bool) -> None:
+        """Waits for the first endpoint list, within limits.
+
+        The PONG that answers a client's PING says that this balancer can serve. What the predecessor was told also
+        binds its successor, and the cached list may be older. An agent answers at once or is silent; a service for all
+        balancers may need longer.
+        """
         waits_longer = is_successor and self.config.settings.must_poll_endpoints
         async with self.clock.time_limit(SUCCESSOR_LIST_TIMEOUT_MS if waits_longer else FIRST_LIST_TIMEOUT_MS):
             await self.endpoints.has_answered.wait()
-        self._accept_clients()
-        logger.info("ready", balancer=self.config.name, address=self.config.listen)
 
     def _accept_clients(self) -> None:
         inherited = self._upgrade.listener if self._upgrade else None
@@ -254,6 +273,7 @@
         self.start_task(self.connections.sweep())
         if self._upgrade:
             self._upgrade.receive_relays()
+            self._upgrade.tell_successors()
         if self.operators:
             self.operators.operations.is_serving = True
 
--- a/glenrock/upgrade/process_upgrade.py
+++ b/glenrock/upgrade/process_upgrade.py
@@ -3,21 +3,41 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
+from typing import Any
+
+from glenrock.routing.interface import EndpointListKind
 
 from ..log import get_logger
 from ..net.clock import Clock
 from ..net.connection_table import ConnectionTable
+from ..net.endpoint_watcher import NO_VERSION, EndpointWatcher
 from ..net.routing_actor import RoutingActor
+from ..net.server_connections import ServerRegistry
 from .inherited_listener import open_inherited
 from .process_registry import ProcessRegistry
 from .relay_receiver import RelayReceiver
 from .relay_sender import RelaySender
+from .state_message import ReportedList
+from .state_receiver import StateReceiver, unusable_reason
+from .state_sender import StateSender
 
 logger = get_logger(__name__)
 
 
+@dataclass(frozen=True)
+class BalancerParts:
+    """The parts of this process that an upgrade concerns."""
+
+    connections: ConnectionTable
+    routing: RoutingActor
+    servers: ServerRegistry
+    endpoints: EndpointWatcher
+    clock: Clock
+
+
 class ProcessUpgrade:
-    """Shares the listening socket with this process's predecessor and successor, and hands relays over.
+    """Shares the listening socket with this process's predecessor and successor, and hands over relays and state.
 
     Attributes:
         listener: the inherited listening socket.
@@ -25,23 +45,20 @@
     Args:
         folder: the folder that both processes of an upgrade share; empty if there is none.
         descriptor: the descriptor of the inherited listening socket.
-        connections: the client connections of this process.
-        routing: the routing actor of this process.
-        clock: the process's clock.
+        balancer: the configured name of this balancer.
+        parts: the parts of this process.
 
     Raises:
         ConfigError: the descriptor is not a listening TCP socket.
     """
 
-    def __init__(
-        self, folder: str, descriptor: int, connections: ConnectionTable, routing: RoutingActor, clock: Clock
-    ) -> None:
+    def __init__(self, folder: str, descriptor: int, balancer: str, parts: BalancerParts) -> None:
         self.listener = open_inherited(descriptor)
         self._folder = folder
-        self._connections = connections
-        self._routing = routing
-        self._clock = clock
-        self._relay_receiver = RelayReceiver(folder, connections)
+        self._parts = parts
+        self._relay_receiver = RelayReceiver(folder, parts.connections)
+        self._state_receiver = StateReceiver(folder, balancer, parts.clock)
+        self._state_sender = StateSender(folder, balancer, self._reported_list)
         self._processes = ProcessRegistry(folder, os.getpid())
 
     def register_process(self) -> None:
@@ -52,24 +69,66 @@
             self._processes.register()
         except OSError as error:
             logger.warning("process not registered: the descriptor limit may be exceeded", error=error)
-        self._connections.count_other_descriptors = self._processes.count_other_descriptors
-        self._connections.budget.other_process_descriptors = self._processes.count_other_descriptors()
+        connections = self._parts.connections
+        connections.count_other_descriptors = self._processes.count_other_descriptors
+        connections.budget.other_process_descriptors = self._processes.count_other_descriptors()
 
     @property
     def has_predecessor(self) -> bool:
         """Whether another process of this balancer ran when this one registered."""
-        return self._connections.budget.other_process_descriptors > 0
+        return self._parts.connections.budget.other_process_descriptors > 0
+
+    # -- the predecessor -------------------------------------------------------------------------------
+
+    async def use_predecessor_list(self, configured: dict[str, Any]) -> bool:
+        """Uses the predecessor's endpoint list. Returns False if the configured list is to be used.
+
+        Args:
+            configured: the configured list, in discovery's form.
+        """
+        reported = await self._state_receiver.receive() if self._folder and self.has_predecessor else None
+        if reported is None:
+            return False
+        endpoints = self._parts.endpoints
+        discovery = str(endpoints.address)
+        version = configured.get("index")
+        configured_version = version if isinstance(version, int) else NO_VERSION
+        if reason := unusable_reason(reported, configured_version, discovery):
+            logger.warning("predecessor's endpoint list not used", reason=reason)
+            return False
+        is_same_discovery = reported.discovery == discovery
+        endpoints.use_predecessor_list(
+            reported.version if is_same_discovery else None, reported.kind, list(reported.rows)
+        )
+        return True
 
     def receive_relays(self) -> None:
         """Starts to accept the relays that the predecessor hands over."""
         if self._folder:
             self._relay_receiver.listen()
 
+    # -- the successor ---------------------------------------------------------------------------------
+
+    def tell_successors(self) -> None:
+        """Starts to tell successors the endpoint list."""
+        if self._folder:
+            self._state_sender.listen()
+
+    def _reported_list(self) -> ReportedList:
+        endpoints, servers = self._parts.endpoints, self._parts.servers
+        return ReportedList(
+            kind=EndpointListKind.FULL if servers.has_list else EndpointListKind.CACHED,
+            version=endpoints.newest_version if endpoints.newest_version > NO_VERSION else None,
+            discovery=str(endpoints.address),
+            rows=tuple(servers.rows.values()),
+        )
+
     def create_relay_sender(self) -> RelaySender | None:
         """Returns the part that hands this process's relays to its successor; None without a shared folder."""
         if not self._folder:
             return None
-        return RelaySender(self._folder, self._clock, self._relay_receiver.socket_inode, self._routing.load_of)
+        parts = self._parts
+        return RelaySender(self._folder, parts.clock, self._relay_receiver.socket_inode, parts.routing.load_of)
 
     def unregister_process(self) -> None:
         """Removes this process's registration, so that other processes no longer count its descriptors."""
--- /dev/null
+++ b/glenrock/upgrade/state_message.py
@@ -0,0 +1,211 @@
+"""Messages by which the old process of an upgrade tells the new one what it has been told. Pure.
+
+Each message is one JSON object on a Unix socket. The new process connects, and the old one sends:
+
+    Greeting, ListBegin, ServerRows (any number), ListEnd, SnapshotEnd
+
+The two processes may run different releases. A change of a message's meaning needs a new `VERSION`, and a greeting of
+another version ends the exchange; a message of an unknown kind is ignored, so that a later release can tell more.
+Nothing that a message contains is used before its snapshot is complete.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from glenrock.routing.interface import EndpointListKind
+
+from ..log import get_logger
+from ..net.endpoint_rows import EndpointRow, encode_row, parse_row
+from ..net.server_connections import MAX_SERVERS
+
+SOCKET_NAME = "glenrock-state.sock"
+VERSION = 1
+MAX_MESSAGE_BYTES = 32_768
+MAX_ROWS_PER_MESSAGE = 64  # a part takes the event loop well under a millisecond
+MAX_LIST_ROWS = MAX_SERVERS  # of a whole list
+
+GREETING = "greeting"
+LIST_BEGIN = "list"
+ROWS = "rows"
+LIST_END = "list_end"
+SNAPSHOT_END = "end"
+WORD_BY_KIND = {EndpointListKind.FULL: "full", EndpointListKind.CACHED: "cached"}
+KIND_BY_WORD = {word: kind for kind, word in WORD_BY_KIND.items()}
+
+logger = get_logger(__name__)
+
+
+class StateMessageError(ValueError):
+    """The message is none that a predecessor of this balancer would send."""
+
+
+@dataclass(frozen=True)
+class Greeting:
+    """The first message.
+
+    Attributes:
+        balancer: the configured name of the sender, which both processes share.
+    """
+
+    balancer: str
+
+
+@dataclass(frozen=True)
+class ListBegin:
+    """The beginning of an endpoint list.
+
+    Attributes:
+        kind: `FULL` for a list that discovery has reported, `CACHED` for one that the sender has from its own start.
+        version: the version of the list at `discovery`; None if it is unknown.
+        discovery: host and port of the discovery that the sender calls.
+    """
+
+    kind: EndpointListKind
+    version: int | None
+    discovery: str
+
+
+@dataclass(frozen=True)
+class ServerRows:
+    """A part of an endpoint list. Rows of servers that are gone are included."""
+
+    rows: tuple[EndpointRow, ...]
+
+
+@dataclass(frozen=True)
+class ListEnd:
+    """The end of an endpoint list, with the number of its rows."""
+
+    row_count: int
+
+
+@dataclass(frozen=True)
+class SnapshotEnd:
+    """The end of what the sender knew when the receiver connected."""
+
+
+StateMessage = Greeting | ListBegin | ServerRows | ListEnd | SnapshotEnd
+
+
+@dataclass(frozen=True)
+class ReportedList:
+    """An endpoint list as one process of an upgrade has it; see `ListBegin`."""
+
+    kind: EndpointListKind
+    version: int | None
+    discovery: str
+    rows: tuple[EndpointRow, ...]
+
+
+# -- encoding ------------------------------------------------------------------------------------------
+
+
+def encode(message: Greeting | ListBegin | ListEnd | SnapshotEnd) -> bytes:
+    """Returns the bytes of a message."""
+    return json.dumps(_content_of(message)).encode()
+
+
+def _content_of(message: Greeting | ListBegin | ListEnd | SnapshotEnd) -> dict[str, Any]:
+    match message:
+        case Greeting(balancer):
+            return {"kind": GREETING, "version": VERSION, "balancer": balancer}
+        case ListBegin(kind, version, discovery):
+            return {"kind": LIST_BEGIN, "list": WORD_BY_KIND[kind], "index": version, "discovery": discovery}
+        case ListEnd(row_count):
+            return {"kind": LIST_END, "rows": row_count}
+        case SnapshotEnd():
+            return {"kind": SNAPSHOT_END}
+
+
+def encode_list(reported: ReportedList) -> Iterator[bytes]:
+    """Returns the messages of a list one by one, so that the caller can let other tasks run between them."""
+    yield encode(ListBegin(reported.kind, reported.version, reported.discovery))
+    row_count = 0
+    for part in _parts(reported.rows):
+        row_count += len(part)
+        yield b'{"kind": "%s", "rows": [%s]}' % (ROWS.encode(), b", ".join(part))
+    yield encode(ListEnd(row_count))
+
+
+def _parts(rows: Iterable[EndpointRow]) -> Iterator[list[bytes]]:
+    """Encodes rows, and groups them into messages within the bounds. A row that fits none is logged and left out."""
+    part: list[bytes] = []
+    part_bytes = 0
+    for row in rows:
+        data = json.dumps(encode_row(row)).encode()
+        if len(data) > MAX_MESSAGE_BYTES // 2:
+            logger.warning("endpoint row not told to the successor: too long", server=row.name, bytes=len(data))
+            continue
+        if part and (len(part) >= MAX_ROWS_PER_MESSAGE or part_bytes + len(data) > MAX_MESSAGE_BYTES // 2):
+            yield part
+            part, part_bytes = [], 0
+        part.append(data)
+        part_bytes += len(data)
+    if part:
+        yield part
+
+
+# -- decoding ------------------------------------------------------------------------------------------
+
+
+def decode(data: bytes) -> StateMessage | None:
+    """Decodes a message. Returns None for one of an unknown kind.
+
+    Raises:
+        StateMessageError: the bytes are no message, a value is missing or invalid, or the version is another one.
+    """
+    try:
+        content = json.loads(data)
+        return _decode_content(content)
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as error:
+        if isinstance(error, StateMessageError):
+            raise
+        raise StateMessageError(f"invalid message: {error!r:.100}") from error
+
+
+def _decode_content(content: dict[str, Any]) -> StateMessage | None:
+    match content["kind"]:
+        case "greeting":
+            return _decode_greeting(content)
+        case "list":
+            return ListBegin(
+                kind=KIND_BY_WORD[content["list"]],
+                version=None if content["index"] is None else _integer(content["index"]),
+                discovery=_text(content["discovery"]),
+            )
+        case "rows":
+            return _decode_rows(content["rows"])
+        case "list_end":
+            return ListEnd(_integer(content["rows"]))
+        case "end":
+            return SnapshotEnd()
+        case _:
+            return None
+
+
+def _decode_greeting(content: dict[str, Any]) -> Greeting:
+    if content["version"] != VERSION:
+        raise StateMessageError(f"version {content['version']!r:.20}, expected {VERSION}")
+    return Greeting(_text(content["balancer"]))
+
+
+def _decode_rows(rows: list[dict[str, Any]]) -> ServerRows:
+    if len(rows) > MAX_ROWS_PER_MESSAGE:
+        raise StateMessageError(f"{len(rows)} rows in a message, at most {MAX_ROWS_PER_MESSAGE} are read")
+    return ServerRows(tuple(parse_row(row) for row in rows))
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise StateMessageError(f"expected a text, got {value!r:.100}")
+    return value
+
+
+def _integer(value: Any) -> int:
+    if type(value) is not int:
+        raise StateMessageError(f"expected an integer, got {value!r:.100}")
+    return value
--- /dev/null
+++ b/glenrock/upgrade/state_receiver.py
@@ -0,0 +1,139 @@
+"""Receives from the predecessor in an upgrade what it has been told."""
+
+from __future__ import annotations
+
+import contextlib
+
+from glenrock.routing.interface import EndpointListKind
+
+from ..log import get_logger
+from ..net.clock import Clock
+from ..net.endpoint_rows import EndpointRow
+from .state_connection import StateConnection
+from .state_message import (
+    MAX_LIST_ROWS,
+    SOCKET_NAME,
+    Greeting,
+    ListBegin,
+    ListEnd,
+    ReportedList,
+    ServerRows,
+    SnapshotEnd,
+    StateMessage,
+    StateMessageError,
+)
+from .unix_socket import create_unix_socket, socket_address
+
+SNAPSHOT_TIMEOUT_MS = 1000.0  # a new process is due within 6 s, of which up to 3 s are for discovery
+
+logger = get_logger(__name__)
+
+
+class ListAssembler:
+    """Puts the messages of an endpoint list together."""
+
+    def __init__(self) -> None:
+        self._begin: ListBegin | None = None
+        self._rows: list[EndpointRow] = []
+
+    def add(self, message: ListBegin | ServerRows | ListEnd) -> ReportedList | None:
+        """Adds a message. Returns the list if it is complete.
+
+        Raises:
+            StateMessageError: the message does not follow the last one, rows are missing, or there are too many.
+        """
+        match message:
+            case ListBegin() if self._begin is None:
+                self._begin = message
+                self._rows = []
+            case ServerRows(rows) if self._begin:
+                self._rows += rows
+                if len(self._rows) > MAX_LIST_ROWS:
+                    raise StateMessageError(f"more than {MAX_LIST_ROWS} rows in a list")
+            case ListEnd(row_count) if self._begin and row_count == len(self._rows):
+                begin, self._begin = self._begin, None
+                return ReportedList(begin.kind, begin.version, begin.discovery, tuple(self._rows))
+            case _:
+                raise StateMessageError(f"unexpected {type(message).__name__} after {len(self._rows)} rows")
+        return None
+
+
+class StateReceiver:
+    """Reads what the predecessor has been told.
+
+    Args:
+        folder: the folder that both processes of an upgrade share.
+        balancer: the configured name of this balancer.
+        clock: the process's clock.
+    """
+
+    def __init__(self, folder: str, balancer: str, clock: Clock) -> None:
+        self._folder = folder
+        self._balancer = balancer
+        self._clock = clock
+
+    async def receive(self) -> ReportedList | None:
+        """Returns the predecessor's endpoint list; None, with a line in the log, if it cannot be had in time."""
+        started_ms = self._clock.now_ms()
+        reported: ReportedList | None = None
+        try:
+            with contextlib.closing(self._connect()) as connection:
+                async with self._clock.time_limit(SNAPSHOT_TIMEOUT_MS) as limit:
+                    reported = await self._read_snapshot(connection)
+            if limit.has_expired:
+                raise TimeoutError(f"not complete within {SNAPSHOT_TIMEOUT_MS:.0f} ms")
+        except (OSError, EOFError, StateMessageError) as error:
+            logger.warning("predecessor's endpoint list not received", error=error)
+            return None
+        if reported:
+            duration_ms = round(self._clock.now_ms() - started_ms, 1)
+            logger.info("predecessor's endpoint list received", servers=len(reported.rows), ms=duration_ms)
+        return reported
+
+    def _connect(self) -> StateConnection:
+        sock = create_unix_socket()
+        try:
+            with socket_address(self._folder, SOCKET_NAME) as path:
+                sock.connect(path)
+        except OSError:
+            sock.close()
+            raise
+        return StateConnection(sock)
+
+    async def _read_snapshot(self, connection: StateConnection) -> ReportedList:
+        self._check_greeting(await connection.receive())
+        assembler = ListAssembler()
+        reported: ReportedList | None = None
+        while True:
+            match await connection.receive():
+                case ListBegin() | ServerRows() | ListEnd() as message:
+                    reported = assembler.add(message) or reported
+                case SnapshotEnd() if reported:
+                    return reported
+                case unexpected:
+                    raise StateMessageError(f"unexpected {type(unexpected).__name__}")
+
+    def _check_greeting(self, message: StateMessage) -> None:
+        if not isinstance(message, Greeting):
+            raise StateMessageError(f"expected a greeting, got {type(message).__name__}")
+        if message.balancer != self._balancer:
+            raise StateMessageError(f"of another balancer, {message.balancer:.100}")
+
+
+def unusable_reason(reported: ReportedList, configured_version: int, discovery: str) -> str | None:
+    """Returns why a start uses the configured list in place of the predecessor's; None if it uses the predecessor's.
+
+    Versions are comparable only if both lists are from the same discovery.
+
+    Args:
+        reported: the predecessor's list.
+        configured_version: the version of the configured list; negative if there is none.
+        discovery: host and port of the discovery that this process calls.
+    """
+    if not reported.rows:
+        return "it is empty"
+    if reported.kind is EndpointListKind.CACHED and reported.version is None:
+        return "discovery has not reported it"
+    if reported.discovery == discovery and reported.version is not None and reported.version < configured_version:
+        return f"version {reported.version} is older than the configured {configured_version}"
+    return None
--- a/tests/net/test_discovery_outage.py
+++ b/tests/net/test_discovery_outage.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from .scripted_discovery import ENDPOINT_LIST, Behavior, WatcherRig
+from glenrock.net.endpoint_rows import parse_row
+from glenrock.routing.interface import EndpointListKind
+
+from .discovery_answers import endpoint_row
+from .scripted_discovery import ENDPOINT_LIST, VERSION, Behavior, WatcherRig
 
 CreateRig = Callable[..., WatcherRig]
 
@@ -126,6 +130,23 @@
         assert rig.watcher.newest_version == rig.discovery.version
 
 
+@pytest.mark.parametrize("must_poll", [True, False])
+async def test_older_list_does_not_replace_the_predecessors_unless_discovery_insists(
+    create_watcher_rig: CreateRig, must_poll: bool
+) -> None:
+    """Guards against a successor that forgets what its predecessor was told at the first answer of a late agent."""
+    rig = create_watcher_rig(balancers=3, must_poll=must_poll)
+    told = [
+        parse_row({**row}) for row in (endpoint_row("s1", "127.0.0.1:1", "DRAINING"), endpoint_row("s2", "127.0.0.1:2"))
+    ]
+    rig.watcher.use_predecessor_list(VERSION + 1, EndpointListKind.FULL, told)
+    await rig.seconds_until_next_call()
+    await rig.run_for(0.0)
+    assert (rig.watcher.newest_version, rig.server_count) == (VERSION + 1, len(told))
+    await rig.run_for(TOLD_S)
+    assert (rig.watcher.newest_version, rig.server_count) == (VERSION, 1)
+
+
 @pytest.mark.parametrize("reset", [False, True])
 async def test_discovery_that_closed_idle_connections_in_an_outage_is_called_soon(
     create_watcher_rig: CreateRig, reset: bool
--- a/tests/upgrade/conftest.py
+++ b/tests/upgrade/conftest.py
@@ -55,6 +55,7 @@
         opened_ids: how often each request id has come to a server.
         processes: the balancer processes, in the order of their start.
         settings: the settings of processes that are started from now on.
+        is_discovery_silent: whether service discovery leaves calls without an answer.
         cached_list: the list in the configuration of processes that are started from now on.
     """
 
@@ -67,6 +68,7 @@
         self.opened_ids: Counter[bytes] = Counter()
         self.processes: list[asyncio.subprocess.Process] = []
         self.settings: dict[str, Any] = dict(SETTINGS)
+        self.is_discovery_silent = False
         self._servers: list[asyncio.Server] = []
 
     async def open(self) -> None:
@@ -104,6 +106,8 @@
         try:
             while line := await reader.readline():
                 is_watch = line.startswith(b"GET /discovery/hosts?index=")
+                if self.is_discovery_silent:
+                    continue
                 if is_watch and int(line.split(b"=")[1].split(b"&")[0]) >= self._endpoint_list["index"]:
                     continue  # nothing changes until the end of the test
                 if is_watch or line.startswith(b"GET /discovery/hosts HTTP"):
--- /dev/null
+++ b/tests/upgrade/test_state_message.py
@@ -0,0 +1,176 @@
+"""Messages from a predecessor: what was sent arrives, and whatever else comes is rejected without an effect."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenrock.config import Address
+from glenrock.net.clock import Clock
+from glenrock.net.endpoint_rows import EndpointRow
+from glenrock.routing.interface import EndpointListKind, EndpointState
+from glenrock.upgrade import state_receiver
+from glenrock.upgrade.state_message import (
+    MAX_LIST_ROWS,
+    MAX_MESSAGE_BYTES,
+    MAX_ROWS_PER_MESSAGE,
+    SOCKET_NAME,
+    VERSION,
+    Greeting,
+    ListBegin,
+    ListEnd,
+    ReportedList,
+    ServerRows,
+    SnapshotEnd,
+    StateMessageError,
+    decode,
+    encode,
+    encode_list,
+)
+from glenrock.upgrade.state_receiver import ListAssembler, StateReceiver, unusable_reason
+from glenrock.upgrade.unix_socket import listen
+
+BALANCER = "n0"
+DISCOVERY = "127.0.0.1:8500"
+TIMEOUT_S = 5.0
+
+
+def row(number: int, zone: str = "a", state: EndpointState = EndpointState.READY) -> EndpointRow:
+    return EndpointRow(f"s-{number}", Address("10.0.0.1", 80 + number), state, zone, 3, 1.5, 12.5)
+
+
+def reported_list(rows: list[EndpointRow], version: int | None = 7) -> ReportedList:
+    return ReportedList(EndpointListKind.FULL, version, DISCOVERY, tuple(rows))
+
+
+def assemble(messages: list[bytes]) -> ReportedList | None:
+    assembler = ListAssembler()
+    reported = None
+    for data in messages:
+        message = decode(data)
+        assert isinstance(message, ListBegin | ServerRows | ListEnd)
+        reported = assembler.add(message)
+    return reported
+
+
+@pytest.mark.parametrize("count", [0, 1, MAX_ROWS_PER_MESSAGE, MAX_ROWS_PER_MESSAGE + 1, 3200])
+def test_list_arrives_as_it_was_sent_in_messages_within_the_bounds(count: int) -> None:
+    rows = [row(number, state=list(EndpointState)[number % 3]) for number in range(count)]
+    messages = list(encode_list(reported_list(rows)))
+    assert max(map(len, messages)) <= MAX_MESSAGE_BYTES
+    assert assemble(messages) == reported_list(rows)
+
+
+def test_row_that_fits_no_message_is_left_out(caplog: pytest.LogCaptureFixture) -> None:
+    rows = [row(1, zone="z" * 10_000), row(2, zone="z" * MAX_MESSAGE_BYTES), row(3, zone="z" * 10_000)]
+    messages = list(encode_list(reported_list(rows)))
+    assert max(map(len, messages)) <= MAX_MESSAGE_BYTES
+    assert assemble(messages) == reported_list([rows[0], rows[2]])
+    assert "endpoint row not told to the successor: too long server=s-2" in caplog.text
+
+
+@given(st.binary(max_size=200) | st.recursive(st.none() | st.text() | st.integers(), st.lists).map(json.dumps))
+def test_foreign_bytes_raise_the_one_error_of_the_module(data: bytes | str) -> None:
+    with pytest.raises(StateMessageError):
+        decode(data.encode() if isinstance(data, str) else data)
+
+
+GREETING = encode(Greeting(BALANCER))
+LIST = list(encode_list(reported_list([row(1), row(2)])))
+END = encode(SnapshotEnd())
+SNAPSHOT = [GREETING, *LIST, END]
+ROWS_MESSAGE = LIST[1]
+
+
+def test_message_of_an_unknown_kind_is_passed_over() -> None:
+    assert decode(b'{"kind": "of a later release", "rows": 3}') is None
+
+
+async def receive(folder: Path, messages: list[bytes], closes: bool = True) -> ReportedList | None:
+    """Returns what a successor receives from a predecessor that sends these messages."""
+    sock, _ = listen(str(folder), SOCKET_NAME, 1)
+    receiving = asyncio.create_task(StateReceiver(str(folder), BALANCER, Clock()).receive())
+    with sock:
+        connection, _ = await asyncio.get_running_loop().sock_accept(sock)
+        with connection:
+            with contextlib.suppress(ConnectionError):  # the successor ends the exchange at a message it cannot use
+                for data in messages:
+                    connection.send(data)
+                    await asyncio.sleep(0)
+            if not closes:
+                return await asyncio.wait_for(receiving, TIMEOUT_S)
+    return await asyncio.wait_for(receiving, TIMEOUT_S)
+
+
+def test_whole_snapshot_is_received(tmp_path: Path) -> None:
+    later_kind = b'{"kind": "of a later release"}'
+    messages = [GREETING, later_kind, *LIST, later_kind, END]
+    assert asyncio.run(receive(tmp_path, messages)) == reported_list([row(1), row(2)])
+
+
+@pytest.mark.parametrize(
+    ("messages", "error"),
+    [
+        ([], "has closed the connection"),
+        (SNAPSHOT[:-1], "has closed the connection"),
+        ([GREETING, LIST[0], LIST[2], END], "unexpected ListEnd after 0 rows"),
+        ([GREETING, *LIST[:2], END], "unexpected SnapshotEnd"),
+        ([GREETING, END], "unexpected SnapshotEnd"),
+        ([GREETING, LIST[1]], "unexpected ServerRows"),
+        ([GREETING, LIST[0], LIST[0]], "unexpected ListBegin"),
+        (SNAPSHOT[1:], "expected a greeting"),
+        ([encode(Greeting("n1")), *LIST, END], "of another balancer"),
+        ([GREETING.replace(b'"version": %d' % VERSION, b'"version": 99'), *LIST, END], "version 99"),
+        ([GREETING, *LIST[:1], ROWS_MESSAGE[:-20]], "invalid message"),
+        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"SERVING", b"SINGING")], "invalid message"),
+        ([GREETING, *LIST[:1], b" " * MAX_MESSAGE_BYTES + b"{}"], "invalid message"),
+    ],
+)
+def test_torn_foreign_or_other_snapshot_is_not_used(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, messages: list[bytes], error: str
+) -> None:
+    assert asyncio.run(receive(tmp_path, messages)) is None
+    assert "predecessor's endpoint list not received" in caplog.text and error in caplog.text
+
+
+def test_predecessor_that_stops_halfway_is_not_waited_for(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(state_receiver, "SNAPSHOT_TIMEOUT_MS", 50.0)
+    assert asyncio.run(receive(tmp_path, SNAPSHOT[:2], closes=False)) is None
+    assert "not complete within 50 ms" in caplog.text
+
+
+def test_list_of_too_many_rows_is_rejected() -> None:
+    assembler = ListAssembler()
+    assembler.add(ListBegin(EndpointListKind.FULL, 1, DISCOVERY))
+    part = ServerRows((row(1),) * MAX_ROWS_PER_MESSAGE)
+    with pytest.raises(StateMessageError, match="rows"):
+        for _ in range(MAX_LIST_ROWS // MAX_ROWS_PER_MESSAGE + 1):
+            assembler.add(part)
+
+
+@pytest.mark.parametrize(
+    ("reported", "configured_version", "reason"),
+    [
+        (reported_list([row(1)], 7), 7, None),
+        (reported_list([row(1)], 7), -1, None),
+        (reported_list([row(1)], 7), 8, "older"),
+        (reported_list([row(1)], None), 8, None),
+        (ReportedList(EndpointListKind.FULL, 7, "127.0.0.1:1", (row(1),)), 8, None),
+        (ReportedList(EndpointListKind.CACHED, None, DISCOVERY, (row(1),)), -1, "has not reported"),
+        (ReportedList(EndpointListKind.CACHED, 7, DISCOVERY, (row(1),)), 7, None),
+        (reported_list([], 7), -1, "empty"),
+    ],
+)
+def test_predecessor_list_is_used_unless_the_configured_one_is_newer(
+    reported: ReportedList, configured_version: int, reason: str | None
+) -> None:
+    found = unusable_reason(reported, configured_version, DISCOVERY)
+    assert found is None if reason is None else found is not None and reason in found
