Start times reach the new process of an upgrade, on the clock that both share

Cause: what a process makes of `since_ms` depends on when it was told. A later list bounds a start by the last answer; a first list has only clocks, and the successor sees a first list, whatever its predecessor has seen.

Change: the list that is handed over has each server's start time as the predecessor found it, and when discovery answered last, in CLOCK_MONOTONIC.

--- a/glenrock/net/clock.py
+++ b/glenrock/net/clock.py
@@ -38,6 +38,14 @@
         """Returns the time in Unix milliseconds."""
         return time.monotonic() * 1000 + self._offset_ms
 
+    def to_machine_ms(self, at_ms: float) -> float:
+        """Converts a time of this clock to CLOCK_MONOTONIC in milliseconds, which all processes of a machine share."""
+        return at_ms - self._offset_ms
+
+    def from_machine_ms(self, machine_ms: float) -> float:
+        """Converts a time of CLOCK_MONOTONIC in milliseconds to a time of this clock."""
+        return machine_ms + self._offset_ms
+
     def call_at(self, when_ms: float, callback: Callable[..., object], *args: object) -> asyncio.Handle:
         """Schedules a call of `callback` at a time of this clock, or as soon as possible if the time has passed."""
         delay_s = max(0.0, when_ms - self.now_ms()) / 1000
@@ -60,8 +68,9 @@
 class ManualClock(Clock):
     """A clock for tests, which is advanced only by `advance`."""
 
-    def __init__(self, now_ms: float = 1_000_000.0) -> None:
+    def __init__(self, now_ms: float = 1_000_000.0, offset_ms: float = 0.0) -> None:
         self.time_ms = now_ms
+        self._offset_ms = offset_ms
         self._scheduled: list[tuple[float, int, asyncio.Handle]] = []
         self._scheduled_count = 0
 
--- a/glenrock/net/start_times.py
+++ b/glenrock/net/start_times.py
@@ -19,12 +19,16 @@
 For example, a server is first reported in a later list, with a start 20 s ago by the process's clock. The wall clock
 has been stepped back by 5 s, so rule 1 gives 15 s. Discovery's last response was 1 s ago, so by rule 2 the age is at
 most 1 s + 3 s. The age is 4 s.
+
+The new process of an upgrade takes over the start times that the old one has found, and the time of discovery's last
+response to it, on the clock that both share. So what the old process knew of a start does not depend on a step of the
+wall clock between the starts of both.
 """
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from .clock import Clock
@@ -39,7 +43,7 @@
     return time.time() * 1000
 
 
-class _KnownStart(NamedTuple):
+class KnownStart(NamedTuple):
     """A start as discovery reports it, and its time on this process's clock."""
 
     since_ms: float
@@ -59,9 +63,24 @@
         self._clock = clock
         self._slow_start_ms = slow_start_ms
         self._wall_ms = wall_ms
-        self._known_starts: dict[str, _KnownStart] = {}
+        self._known_starts: dict[str, KnownStart] = {}
         self._last_response_ms: float | None = None
 
+    @property
+    def last_response_ms(self) -> float | None:
+        """When discovery responded last, on the process's clock; None if it has not."""
+        return self._last_response_ms
+
+    def known_start(self, name: str) -> KnownStart | None:
+        """Returns the start of a server; None if discovery has reported none."""
+        return self._known_starts.get(name)
+
+    def take_over(self, starts: Mapping[str, KnownStart], last_response_ms: float | None) -> None:
+        """Uses what another process of this balancer knows, with times converted to this process's clock."""
+        self._known_starts.update(starts)
+        if last_response_ms is not None:
+            self._last_response_ms = max(last_response_ms, self._last_response_ms or last_response_ms)
+
     def record_answer(self) -> None:
         """Records that discovery has responded, so that starts that are first reported later are recent."""
         self._last_response_ms = self._clock.now_ms()
@@ -79,7 +98,7 @@
         else:
             ages_ms = [self._age_in_later_list_ms(row) for row in newly_reported]
         for row, age_ms in zip(newly_reported, ages_ms, strict=True):
-            self._known_starts[row.name] = _KnownStart(row.since_ms, now_ms - age_ms)
+            self._known_starts[row.name] = KnownStart(row.since_ms, now_ms - age_ms)
         return [self._known_starts[row.name].started_ms if row.since_ms else LONG_AGO_MS for row in rows]
 
     def _is_known(self, row: EndpointRow) -> bool:
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -121,7 +121,14 @@
     """
     from .upgrade.process_upgrade import BalancerParts, ProcessUpgrade
 
-    parts = BalancerParts(program.connections, program.routing, program.servers, program.endpoints, program.clock)
+    parts = BalancerParts(
+        connections=program.connections,
+        routing=program.routing,
+        servers=program.servers,
+        endpoints=program.endpoints,
+        start_times=program.start_times,
+        clock=program.clock,
+    )
     return ProcessUpgrade(program.config.shared_folder, descriptor, program.config.name, parts)
 
 
@@ -164,9 +171,14 @@
         self.routing = RoutingActor(settings, config.seed, clock)
         metrics = ConnectionMetrics(request_class.name for request_class in settings.classes)
         self.budget = DescriptorBudget(effective_descriptor_limit(config.descriptor_limit))
-        start_times = StartTimes(clock, settings.slow_start_us / 1000)
+        self.start_times = StartTimes(clock, settings.slow_start_us / 1000)
         self.servers = ServerRegistry(
-            clock, settings.connect_timeout_us / 1000, self.routing.post_required, metrics, self.budget, start_times
+            clock,
+            settings.connect_timeout_us / 1000,
+            self.routing.post_required,
+            metrics,
+            self.budget,
+            self.start_times,
         )
         self.endpoints = EndpointWatcher(
             config.discovery,
@@ -174,7 +186,7 @@
             self.servers.update,
             self._report_poll_failure,
             _create_poll_backoff(config),
-            start_times.record_answer,
+            self.start_times.record_answer,
         )
         self.connections = ConnectionTable(
             self.routing, self.servers, clock, self.budget, config.measures_delay, metrics, _open_history(config)
--- a/glenrock/upgrade/process_upgrade.py
+++ b/glenrock/upgrade/process_upgrade.py
@@ -11,14 +11,16 @@
 from ..log import get_logger
 from ..net.clock import Clock
 from ..net.connection_table import ConnectionTable
+from ..net.endpoint_rows import EndpointRow
 from ..net.endpoint_watcher import NO_VERSION, EndpointWatcher
 from ..net.routing_actor import RoutingActor
 from ..net.server_connections import ServerRegistry
+from ..net.start_times import KnownStart, StartTimes
 from .inherited_listener import open_inherited
 from .process_registry import ProcessRegistry
 from .relay_receiver import RelayReceiver
 from .relay_sender import RelaySender
-from .state_message import ReportedList
+from .state_message import ReportedList, ToldServer
 from .state_receiver import StateReceiver, unusable_reason
 from .state_sender import StateSender
 
@@ -33,6 +35,7 @@
     routing: RoutingActor
     servers: ServerRegistry
     endpoints: EndpointWatcher
+    start_times: StartTimes
     clock: Clock
 
 
@@ -96,12 +99,22 @@
         if reason := unusable_reason(reported, configured_version, discovery):
             logger.warning("predecessor's endpoint list not used", reason=reason)
             return False
+        self._take_over_starts(reported)
         is_same_discovery = reported.discovery == discovery
-        endpoints.use_predecessor_list(
-            reported.version if is_same_discovery else None, reported.kind, list(reported.rows)
-        )
+        rows = [server.row for server in reported.servers]
+        endpoints.use_predecessor_list(reported.version if is_same_discovery else None, reported.kind, rows)
         return True
 
+    def _take_over_starts(self, reported: ReportedList) -> None:
+        clock = self._parts.clock
+        starts = {
+            server.row.name: KnownStart(server.row.since_ms, clock.from_machine_ms(server.started_ms))
+            for server in reported.servers
+            if server.started_ms is not None
+        }
+        answered_ms = None if reported.answered_ms is None else clock.from_machine_ms(reported.answered_ms)
+        self._parts.start_times.take_over(starts, answered_ms)
+
     def receive_relays(self) -> None:
         """Starts to accept the relays that the predecessor hands over."""
         if self._folder:
@@ -115,14 +128,21 @@
             self._state_sender.listen()
 
     def _reported_list(self) -> ReportedList:
-        endpoints, servers = self._parts.endpoints, self._parts.servers
+        """Returns the endpoint list of this process, with times of the machine's clock."""
+        parts = self._parts
+        last_response_ms = parts.start_times.last_response_ms
         return ReportedList(
-            kind=EndpointListKind.FULL if servers.has_list else EndpointListKind.CACHED,
-            version=endpoints.newest_version if endpoints.newest_version > NO_VERSION else None,
-            discovery=str(endpoints.address),
-            rows=tuple(servers.rows.values()),
+            kind=EndpointListKind.FULL if parts.servers.has_list else EndpointListKind.CACHED,
+            version=parts.endpoints.newest_version if parts.endpoints.newest_version > NO_VERSION else None,
+            discovery=str(parts.endpoints.address),
+            answered_ms=None if last_response_ms is None else parts.clock.to_machine_ms(last_response_ms),
+            servers=tuple(self._told_server(row) for row in parts.servers.rows.values()),
         )
 
+    def _told_server(self, row: EndpointRow) -> ToldServer:
+        start = self._parts.start_times.known_start(row.name)
+        return ToldServer(row, None if start is None else self._parts.clock.to_machine_ms(start.started_ms))
+
     def create_relay_sender(self) -> RelaySender | None:
         """Returns the part that hands this process's relays to its successor; None without a shared folder."""
         if not self._folder:
--- a/glenrock/upgrade/state_message.py
+++ b/glenrock/upgrade/state_message.py
@@ -2,7 +2,9 @@
 
 Each message is one JSON object on a Unix socket. The new process connects, and the old one sends:
 
-    Greeting, ListBegin, ServerRows (any number), ListEnd, SnapshotEnd
+    Greeting, ListBegin, ServerPart (any number), ListEnd, SnapshotEnd
+
+Times are CLOCK_MONOTONIC in milliseconds, which both processes share, whatever happens to the wall clock.
 
 The two processes may run different releases. A change of a message's meaning needs a new `VERSION`, and a greeting of
 another version ends the exchange; a message of an unknown kind is ignored, so that a later release can tell more.
@@ -14,6 +16,7 @@
 import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any
 
 from glenrock.routing.interface import EndpointListKind
@@ -62,18 +65,33 @@
         kind: `FULL` for a list that discovery has reported, `CACHED` for one that the sender has from its own start.
         version: the version of the list at `discovery`; None if it is unknown.
         discovery: host and port of the discovery that the sender calls.
+        answered_ms: when that discovery answered the sender last; None if it has not.
     """
 
     kind: EndpointListKind
     version: int | None
     discovery: str
+    answered_ms: float | None
+
+
+@dataclass(frozen=True)
+class ToldServer:
+    """A server as one process of an upgrade knows it.
+
+    Attributes:
+        row: its row in the endpoint list; rows of servers that are gone are included.
+        started_ms: when it started, as far as the sender has found out; None if discovery has reported no start.
+    """
+
+    row: EndpointRow
+    started_ms: float | None = None
 
 
 @dataclass(frozen=True)
-class ServerRows:
-    """A part of an endpoint list. Rows of servers that are gone are included."""
+class ServerPart:
+    """A part of an endpoint list."""
 
-    rows: tuple[EndpointRow, ...]
+    servers: tuple[ToldServer, ...]
 
 
 @dataclass(frozen=True)
@@ -88,7 +106,7 @@
     """The end of what the sender knew when the receiver connected."""
 
 
-StateMessage = Greeting | ListBegin | ServerRows | ListEnd | SnapshotEnd
+StateMessage = Greeting | ListBegin | ServerPart | ListEnd | SnapshotEnd
 
 
 @dataclass(frozen=True)
@@ -98,7 +116,8 @@
     kind: EndpointListKind
     version: int | None
     discovery: str
-    rows: tuple[EndpointRow, ...]
+    answered_ms: float | None
+    servers: tuple[ToldServer, ...]
 
 
 # -- encoding ------------------------------------------------------------------------------------------
@@ -113,8 +132,14 @@
     match message:
         case Greeting(balancer):
             return {"kind": GREETING, "version": VERSION, "balancer": balancer}
-        case ListBegin(kind, version, discovery):
-            return {"kind": LIST_BEGIN, "list": WORD_BY_KIND[kind], "index": version, "discovery": discovery}
+        case ListBegin():
+            return {
+                "kind": LIST_BEGIN,
+                "list": WORD_BY_KIND[message.kind],
+                "index": message.version,
+                "discovery": message.discovery,
+                "answered_at": message.answered_ms,
+            }
         case ListEnd(row_count):
             return {"kind": LIST_END, "rows": row_count}
         case SnapshotEnd():
@@ -123,22 +148,22 @@
 
 def encode_list(reported: ReportedList) -> Iterator[bytes]:
     """Returns the messages of a list one by one, so that the caller can let other tasks run between them."""
-    yield encode(ListBegin(reported.kind, reported.version, reported.discovery))
+    yield encode(ListBegin(reported.kind, reported.version, reported.discovery, reported.answered_ms))
     row_count = 0
-    for part in _parts(reported.rows):
+    for part in _parts(reported.servers):
         row_count += len(part)
         yield b'{"kind": "%s", "rows": [%s]}' % (ROWS.encode(), b", ".join(part))
     yield encode(ListEnd(row_count))
 
 
-def _parts(rows: Iterable[EndpointRow]) -> Iterator[list[bytes]]:
-    """Encodes rows, and groups them into messages within the bounds. A row that fits none is logged and left out."""
+def _parts(servers: Iterable[ToldServer]) -> Iterator[list[bytes]]:
+    """Encodes servers, and groups them into messages within the bounds. One that fits none is logged and left out."""
     part: list[bytes] = []
     part_bytes = 0
-    for row in rows:
-        data = json.dumps(encode_row(row)).encode()
+    for server in servers:
+        data = json.dumps({**encode_row(server.row), "started_at": server.started_ms}).encode()
         if len(data) > MAX_MESSAGE_BYTES // 2:
-            logger.warning("endpoint row not told to the successor: too long", server=row.name, bytes=len(data))
+            logger.warning("endpoint row not told to the successor: too long", server=server.row.name, bytes=len(data))
             continue
         if part and (len(part) >= MAX_ROWS_PER_MESSAGE or part_bytes + len(data) > MAX_MESSAGE_BYTES // 2):
             yield part
@@ -176,9 +201,10 @@
                 kind=KIND_BY_WORD[content["list"]],
                 version=None if content["index"] is None else _integer(content["index"]),
                 discovery=_text(content["discovery"]),
+                answered_ms=_optional_ms(content["answered_at"]),
             )
         case "rows":
-            return _decode_rows(content["rows"])
+            return _decode_servers(content["rows"])
         case "list_end":
             return ListEnd(_integer(content["rows"]))
         case "end":
@@ -193,10 +219,10 @@
     return Greeting(_text(content["balancer"]))
 
 
-def _decode_rows(rows: list[dict[str, Any]]) -> ServerRows:
+def _decode_servers(rows: list[dict[str, Any]]) -> ServerPart:
     if len(rows) > MAX_ROWS_PER_MESSAGE:
         raise StateMessageError(f"{len(rows)} rows in a message, at most {MAX_ROWS_PER_MESSAGE} are read")
-    return ServerRows(tuple(parse_row(row) for row in rows))
+    return ServerPart(tuple(ToldServer(parse_row(row), _optional_ms(row["started_at"])) for row in rows))
 
 
 def _text(value: Any) -> str:
@@ -205,6 +231,12 @@
     return value
 
 
+def _optional_ms(value: Any) -> float | None:
+    if value is not None and not (isinstance(value, int | float) and isfinite(value)):
+        raise StateMessageError(f"expected a time, got {value!r:.100}")
+    return None if value is None else float(value)
+
+
 def _integer(value: Any) -> int:
     if type(value) is not int:
         raise StateMessageError(f"expected an integer, got {value!r:.100}")
--- a/glenrock/upgrade/state_receiver.py
+++ b/glenrock/upgrade/state_receiver.py
@@ -8,7 +8,6 @@
 
 from ..log import get_logger
 from ..net.clock import Clock
-from ..net.endpoint_rows import EndpointRow
 from .state_connection import StateConnection
 from .state_message import (
     MAX_LIST_ROWS,
@@ -17,10 +16,11 @@
     ListBegin,
     ListEnd,
     ReportedList,
-    ServerRows,
+    ServerPart,
     SnapshotEnd,
     StateMessage,
     StateMessageError,
+    ToldServer,
 )
 from .unix_socket import create_unix_socket, socket_address
 
@@ -34,9 +34,9 @@
 
     def __init__(self) -> None:
         self._begin: ListBegin | None = None
-        self._rows: list[EndpointRow] = []
+        self._servers: list[ToldServer] = []
 
-    def add(self, message: ListBegin | ServerRows | ListEnd) -> ReportedList | None:
+    def add(self, message: ListBegin | ServerPart | ListEnd) -> ReportedList | None:
         """Adds a message. Returns the list if it is complete.
 
         Raises:
@@ -45,16 +45,16 @@
         match message:
             case ListBegin() if self._begin is None:
                 self._begin = message
-                self._rows = []
-            case ServerRows(rows) if self._begin:
-                self._rows += rows
-                if len(self._rows) > MAX_LIST_ROWS:
+                self._servers = []
+            case ServerPart(servers) if self._begin:
+                self._servers += servers
+                if len(self._servers) > MAX_LIST_ROWS:
                     raise StateMessageError(f"more than {MAX_LIST_ROWS} rows in a list")
-            case ListEnd(row_count) if self._begin and row_count == len(self._rows):
+            case ListEnd(row_count) if self._begin and row_count == len(self._servers):
                 begin, self._begin = self._begin, None
-                return ReportedList(begin.kind, begin.version, begin.discovery, tuple(self._rows))
+                return ReportedList(begin.kind, begin.version, begin.discovery, begin.answered_ms, tuple(self._servers))
             case _:
-                raise StateMessageError(f"unexpected {type(message).__name__} after {len(self._rows)} rows")
+                raise StateMessageError(f"unexpected {type(message).__name__} after {len(self._servers)} rows")
         return None
 
 
@@ -87,7 +87,7 @@
             return None
         if reported:
             duration_ms = round(self._clock.now_ms() - started_ms, 1)
-            logger.info("predecessor's endpoint list received", servers=len(reported.rows), ms=duration_ms)
+            logger.info("predecessor's endpoint list received", servers=len(reported.servers), ms=duration_ms)
         return reported
 
     def _connect(self) -> StateConnection:
@@ -106,7 +106,7 @@
         reported: ReportedList | None = None
         while True:
             match await connection.receive():
-                case ListBegin() | ServerRows() | ListEnd() as message:
+                case ListBegin() | ServerPart() | ListEnd() as message:
                     reported = assembler.add(message) or reported
                 case SnapshotEnd() if reported:
                     return reported
@@ -130,7 +130,7 @@
         configured_version: the version of the configured list; negative if there is none.
         discovery: host and port of the discovery that this process calls.
     """
-    if not reported.rows:
+    if not reported.servers:
         return "it is empty"
     if reported.kind is EndpointListKind.CACHED and reported.version is None:
         return "discovery has not reported it"
--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -67,4 +67,4 @@
         for data in encode_list(reported):
             await connection.send(data)
         await connection.send(encode(SnapshotEnd()))
-        logger.info("successor told the endpoint list", servers=len(reported.rows), version=reported.version)
+        logger.info("successor told the endpoint list", servers=len(reported.servers), version=reported.version)
--- a/tests/upgrade/conftest.py
+++ b/tests/upgrade/conftest.py
@@ -80,10 +80,21 @@
         self.cached_list = self._endpoint_list
         self._servers.append(await asyncio.start_server(self._serve_endpoint_list, "127.0.0.1", 0))
 
-    def report_endpoints(self, version: int, **statuses: str) -> None:
-        """Makes service discovery answer with all servers from now on, in these statuses, or else `SERVING`."""
+    @property
+    def discovery(self) -> asyncio.Server:
+        """Service discovery."""
+        return self._servers[-1]
+
+    def report_endpoints(self, version: int, since_ms: float = 0.0, **statuses: str) -> None:
+        """Makes service discovery answer with all servers from now on, in these statuses, or else `SERVING`.
+
+        Args:
+            version: the version of the list.
+            since_ms: when all servers started, in Unix milliseconds.
+            statuses: statuses by server.
+        """
         rows = [
-            endpoint_row(name, address_of(server), statuses.get(name, "SERVING"))
+            endpoint_row(name, address_of(server), statuses.get(name, "SERVING"), since_ms=since_ms)
             for name, server in zip(self.connection_counts, self._servers, strict=False)
         ]
         self._endpoint_list = endpoint_list_response(version, rows)
@@ -152,7 +163,7 @@
             "seed": "7",
             "settings": self.settings,
             "known": self.cached_list,
-            "discovery": address_of(self._servers[-1]),
+            "discovery": address_of(self.discovery),
         }
         config_file.write_text(json.dumps(config))
         return config_file
--- a/tests/upgrade/test_state_message.py
+++ b/tests/upgrade/test_state_message.py
@@ -26,9 +26,10 @@
     ListBegin,
     ListEnd,
     ReportedList,
-    ServerRows,
+    ServerPart,
     SnapshotEnd,
     StateMessageError,
+    ToldServer,
     decode,
     encode,
     encode_list,
@@ -41,12 +42,18 @@
 TIMEOUT_S = 5.0
 
 
-def row(number: int, zone: str = "a", state: EndpointState = EndpointState.READY) -> EndpointRow:
-    return EndpointRow(f"s-{number}", Address("10.0.0.1", 80 + number), state, zone, 3, 1.5, 12.5)
+def server(number: int, zone: str = "a", state: EndpointState = EndpointState.READY) -> ToldServer:
+    row = EndpointRow(f"s-{number}", Address("10.0.0.1", 80 + number), state, zone, 3, 1.5, 12.5)
+    return ToldServer(row, started_ms=-2.5 if number % 2 else None)
 
 
-def reported_list(rows: list[EndpointRow], version: int | None = 7) -> ReportedList:
-    return ReportedList(EndpointListKind.FULL, version, DISCOVERY, tuple(rows))
+def reported_list(
+    servers: list[ToldServer],
+    version: int | None = 7,
+    kind: EndpointListKind = EndpointListKind.FULL,
+    discovery: str = DISCOVERY,
+) -> ReportedList:
+    return ReportedList(kind, version, discovery, 3.25, tuple(servers))
 
 
 def assemble(messages: list[bytes]) -> ReportedList | None:
@@ -54,24 +61,24 @@
     reported = None
     for data in messages:
         message = decode(data)
-        assert isinstance(message, ListBegin | ServerRows | ListEnd)
+        assert isinstance(message, ListBegin | ServerPart | ListEnd)
         reported = assembler.add(message)
     return reported
 
 
 @pytest.mark.parametrize("count", [0, 1, MAX_ROWS_PER_MESSAGE, MAX_ROWS_PER_MESSAGE + 1, 3200])
 def test_list_arrives_as_it_was_sent_in_messages_within_the_bounds(count: int) -> None:
-    rows = [row(number, state=list(EndpointState)[number % 3]) for number in range(count)]
-    messages = list(encode_list(reported_list(rows)))
+    servers = [server(number, state=list(EndpointState)[number % 3]) for number in range(count)]
+    messages = list(encode_list(reported_list(servers)))
     assert max(map(len, messages)) <= MAX_MESSAGE_BYTES
-    assert assemble(messages) == reported_list(rows)
+    assert assemble(messages) == reported_list(servers)
 
 
 def test_row_that_fits_no_message_is_left_out(caplog: pytest.LogCaptureFixture) -> None:
-    rows = [row(1, zone="z" * 10_000), row(2, zone="z" * MAX_MESSAGE_BYTES), row(3, zone="z" * 10_000)]
-    messages = list(encode_list(reported_list(rows)))
+    servers = [server(1, zone="z" * 10_000), server(2, zone="z" * MAX_MESSAGE_BYTES), server(3, zone="z" * 10_000)]
+    messages = list(encode_list(reported_list(servers)))
     assert max(map(len, messages)) <= MAX_MESSAGE_BYTES
-    assert assemble(messages) == reported_list([rows[0], rows[2]])
+    assert assemble(messages) == reported_list([servers[0], servers[2]])
     assert "endpoint row not told to the successor: too long server=s-2" in caplog.text
 
 
@@ -82,7 +89,7 @@
 
 
 GREETING = encode(Greeting(BALANCER))
-LIST = list(encode_list(reported_list([row(1), row(2)])))
+LIST = list(encode_list(reported_list([server(1), server(2)])))
 END = encode(SnapshotEnd())
 SNAPSHOT = [GREETING, *LIST, END]
 ROWS_MESSAGE = LIST[1]
@@ -111,7 +118,7 @@
 def test_whole_snapshot_is_received(tmp_path: Path) -> None:
     later_kind = b'{"kind": "of a later release"}'
     messages = [GREETING, later_kind, *LIST, later_kind, END]
-    assert asyncio.run(receive(tmp_path, messages)) == reported_list([row(1), row(2)])
+    assert asyncio.run(receive(tmp_path, messages)) == reported_list([server(1), server(2)])
 
 
 @pytest.mark.parametrize(
@@ -122,13 +129,15 @@
         ([GREETING, LIST[0], LIST[2], END], "unexpected ListEnd after 0 rows"),
         ([GREETING, *LIST[:2], END], "unexpected SnapshotEnd"),
         ([GREETING, END], "unexpected SnapshotEnd"),
-        ([GREETING, LIST[1]], "unexpected ServerRows"),
+        ([GREETING, LIST[1]], "unexpected ServerPart"),
         ([GREETING, LIST[0], LIST[0]], "unexpected ListBegin"),
         (SNAPSHOT[1:], "expected a greeting"),
         ([encode(Greeting("n1")), *LIST, END], "of another balancer"),
         ([GREETING.replace(b'"version": %d' % VERSION, b'"version": 99'), *LIST, END], "version 99"),
         ([GREETING, *LIST[:1], ROWS_MESSAGE[:-20]], "invalid message"),
         ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"SERVING", b"SINGING")], "invalid message"),
+        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"-2.5", b"NaN")], "expected a time"),
+        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"-2.5", b'"1"')], "expected a time"),
         ([GREETING, *LIST[:1], b" " * MAX_MESSAGE_BYTES + b"{}"], "invalid message"),
     ],
 )
@@ -149,8 +158,8 @@
 
 def test_list_of_too_many_rows_is_rejected() -> None:
     assembler = ListAssembler()
-    assembler.add(ListBegin(EndpointListKind.FULL, 1, DISCOVERY))
-    part = ServerRows((row(1),) * MAX_ROWS_PER_MESSAGE)
+    assembler.add(ListBegin(EndpointListKind.FULL, 1, DISCOVERY, None))
+    part = ServerPart((server(1),) * MAX_ROWS_PER_MESSAGE)
     with pytest.raises(StateMessageError, match="rows"):
         for _ in range(MAX_LIST_ROWS // MAX_ROWS_PER_MESSAGE + 1):
             assembler.add(part)
@@ -159,13 +168,13 @@
 @pytest.mark.parametrize(
     ("reported", "configured_version", "reason"),
     [
-        (reported_list([row(1)], 7), 7, None),
-        (reported_list([row(1)], 7), -1, None),
-        (reported_list([row(1)], 7), 8, "older"),
-        (reported_list([row(1)], None), 8, None),
-        (ReportedList(EndpointListKind.FULL, 7, "127.0.0.1:1", (row(1),)), 8, None),
-        (ReportedList(EndpointListKind.CACHED, None, DISCOVERY, (row(1),)), -1, "has not reported"),
-        (ReportedList(EndpointListKind.CACHED, 7, DISCOVERY, (row(1),)), 7, None),
+        (reported_list([server(1)], 7), 7, None),
+        (reported_list([server(1)], 7), -1, None),
+        (reported_list([server(1)], 7), 8, "older"),
+        (reported_list([server(1)], None), 8, None),
+        (reported_list([server(1)], 7, discovery="127.0.0.1:1"), 8, None),
+        (reported_list([server(1)], None, EndpointListKind.CACHED), -1, "has not reported"),
+        (reported_list([server(1)], 7, EndpointListKind.CACHED), 7, None),
         (reported_list([], 7), -1, "empty"),
     ],
 )
--- /dev/null
+++ b/tests/upgrade/test_taken_over_state.py
@@ -0,0 +1,44 @@
+"""What the new program of an upgrade takes over from the old one beside the endpoint list."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from glenrock.routing.state import Server
+
+from .conftest import RunWithRig, UpgradeRig
+from .two_programs import two_programs
+
+HOUR_MS = 3_600_000.0
+TOLERANCE_US = 1000
+
+
+def has_started(server: Server) -> bool:
+    """Returns whether discovery has reported a start of the server."""
+    return server.started_us > 0
+
+
+def test_server_that_came_back_cold_is_cold_for_the_new_program(
+    run_with_rig: RunWithRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a successor that counts a cold server as warm, since its clock says that the start was long ago.
+
+    All servers have restarted, and this machine's clocks are an hour ahead of theirs: a first list shows no start as
+    recent, while the old program has seen the servers come back.
+    """
+
+    async def scenario(rig: UpgradeRig) -> None:
+        async with two_programs(rig, monkeypatch) as programs:
+            old = await programs.start()
+            rig.report_endpoints(version=3, since_ms=time.time() * 1000 - HOUR_MS)
+            known = await programs.wait_for_server(old, "s1", has_started)
+            assert not old.routing.balancer.slow_start.is_warm(known)
+            rig.is_discovery_silent = True
+            new = await programs.start()
+            taken_over = await programs.wait_for_server(new, "s1", has_started)
+            assert not new.routing.balancer.slow_start.is_warm(taken_over)
+            assert abs(taken_over.started_us - known.started_us) < TOLERANCE_US
+
+    run_with_rig(scenario)
