Changes of the list that only the old process of an upgrade is told reach the new one

Cause: the list was handed over once, at the successor's start.

Change: the connection stays open, and the predecessor tells each change; the successor uses one that is newer than its list by the version of the same discovery, or until discovery has answered it. A successor that reads slowly gets the whole list in place of 64 changes. If a successor dies, its predecessor puts its own socket back for the next one.

--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -18,6 +18,7 @@
 from .net.connection_table import ConnectionTable
 from .net.descriptor_budget import DescriptorBudget, DescriptorBudgetError
 from .net.drain_state import DrainState
+from .net.endpoint_rows import EndpointRow
 from .net.endpoint_watcher import EndpointWatcher
 from .net.graceful_shutdown import GracefulShutdown
 from .net.listening_socket import listen
@@ -183,7 +184,7 @@
         self.endpoints = EndpointWatcher(
             config.discovery,
             clock,
-            self.servers.update,
+            self._update_endpoints,
             self._report_poll_failure,
             _create_poll_backoff(config),
             self.start_times.record_answer,
@@ -210,6 +211,11 @@
         except DescriptorBudgetError as error:
             raise ConfigError(f"limits.sockets: {error}") from error
 
+    def _update_endpoints(self, kind: interface.EndpointListKind, rows: list[EndpointRow]) -> None:
+        self.servers.update(kind, rows)
+        if self._upgrade:
+            self._upgrade.publish_change(kind, rows)
+
     def _report_poll_failure(self) -> None:
         self.routing.post_required(interface.EndpointList(interface.EndpointListKind.FAILED))
 
@@ -286,6 +292,7 @@
         if self._upgrade:
             self._upgrade.receive_relays()
             self._upgrade.tell_successors()
+            self.start_task(self._upgrade.follow_predecessor())
         if self.operators:
             self.operators.operations.is_serving = True
 
--- a/glenrock/upgrade/process_upgrade.py
+++ b/glenrock/upgrade/process_upgrade.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,7 +23,7 @@
 from .relay_receiver import RelayReceiver
 from .relay_sender import RelaySender
 from .state_message import ReportedList, ToldServer
-from .state_receiver import StateReceiver, unusable_reason
+from .state_receiver import StateReceiver, is_change_news, unusable_reason
 from .state_sender import StateSender
 
 logger = get_logger(__name__)
@@ -89,7 +91,8 @@
         Args:
             configured: the configured list, in discovery's form.
         """
-        reported = await self._state_receiver.receive() if self._folder and self.has_predecessor else None
+        is_told = self._folder and self.has_predecessor
+        reported = await self._state_receiver.receive_snapshot() if is_told else None
         if reported is None:
             return False
         endpoints = self._parts.endpoints
@@ -99,11 +102,28 @@
         if reason := unusable_reason(reported, configured_version, discovery):
             logger.warning("predecessor's endpoint list not used", reason=reason)
             return False
+        self._use_list(reported)
+        return True
+
+    async def follow_predecessor(self) -> None:
+        """Uses what the predecessor is told from now on, until it ends. Then waits for ever."""
+        await self._state_receiver.follow(self._use_change)
+        await asyncio.get_running_loop().create_future()
+
+    def _use_change(self, change: ReportedList) -> None:
+        """Uses a change of the predecessor's list, unless this process has been told as much."""
+        endpoints = self._parts.endpoints
+        has_answered = endpoints.has_answered.is_set()
+        if is_change_news(change, endpoints.newest_version, str(endpoints.address), has_answered):
+            logger.info("change of the predecessor's endpoint list used", servers=len(change.servers))
+            self._use_list(change)
+
+    def _use_list(self, reported: ReportedList) -> None:
         self._take_over_starts(reported)
-        is_same_discovery = reported.discovery == discovery
+        endpoints = self._parts.endpoints
+        is_same_discovery = reported.discovery == str(endpoints.address)
         rows = [server.row for server in reported.servers]
         endpoints.use_predecessor_list(reported.version if is_same_discovery else None, reported.kind, rows)
-        return True
 
     def _take_over_starts(self, reported: ReportedList) -> None:
         clock = self._parts.clock
@@ -127,16 +147,26 @@
         if self._folder:
             self._state_sender.listen()
 
+    def publish_change(self, kind: EndpointListKind, rows: list[EndpointRow]) -> None:
+        """Tells the successors a list or a change that discovery has reported."""
+        if kind in (EndpointListKind.FULL, EndpointListKind.CHANGES):
+            self._state_sender.publish(self._build_list(kind, rows))
+
     def _reported_list(self) -> ReportedList:
-        """Returns the endpoint list of this process, with times of the machine's clock."""
+        servers = self._parts.servers
+        kind = EndpointListKind.FULL if servers.has_list else EndpointListKind.CACHED
+        return self._build_list(kind, servers.rows.values())
+
+    def _build_list(self, kind: EndpointListKind, rows: Iterable[EndpointRow]) -> ReportedList:
+        """Returns rows of the endpoint list of this process, with times of the machine's clock."""
         parts = self._parts
         last_response_ms = parts.start_times.last_response_ms
         return ReportedList(
-            kind=EndpointListKind.FULL if parts.servers.has_list else EndpointListKind.CACHED,
+            kind=kind,
             version=parts.endpoints.newest_version if parts.endpoints.newest_version > NO_VERSION else None,
             discovery=str(parts.endpoints.address),
             answered_ms=None if last_response_ms is None else parts.clock.to_machine_ms(last_response_ms),
-            servers=tuple(self._told_server(row) for row in parts.servers.rows.values()),
+            servers=tuple(self._told_server(row) for row in rows),
         )
 
     def _told_server(self, row: EndpointRow) -> ToldServer:
--- a/glenrock/upgrade/state_connection.py
+++ b/glenrock/upgrade/state_connection.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 from ..net.socket_io import recv_into, wait_writable
-from .state_message import MAX_MESSAGE_BYTES, StateMessage, decode
+from .state_message import MAX_MESSAGE_BYTES, StateMessage, StateMessageError, decode
 
 
 class StateConnection:
@@ -49,3 +50,9 @@
                 raise EOFError("the other process has closed the connection")
             if (message := decode(bytes(self._buffer[:count]))) is not None:
                 return message
+
+    async def read_to_end(self) -> None:
+        """Discards messages until the other process has closed the connection, or sends one that is invalid."""
+        with contextlib.suppress(OSError, EOFError, StateMessageError):
+            while True:
+                await self.receive()
--- a/glenrock/upgrade/state_message.py
+++ b/glenrock/upgrade/state_message.py
@@ -4,6 +4,8 @@
 
     Greeting, ListBegin, ServerPart (any number), ListEnd, SnapshotEnd
 
+and then, while both processes run, ListBegin to ListEnd for each change of its list.
+
 Times are CLOCK_MONOTONIC in milliseconds, which both processes share, whatever happens to the wall clock.
 
 The two processes may run different releases. A change of a message's meaning needs a new `VERSION`, and a greeting of
@@ -36,7 +38,11 @@
 ROWS = "rows"
 LIST_END = "list_end"
 SNAPSHOT_END = "end"
-WORD_BY_KIND = {EndpointListKind.FULL: "full", EndpointListKind.CACHED: "cached"}
+WORD_BY_KIND = {
+    EndpointListKind.FULL: "full",
+    EndpointListKind.CACHED: "cached",
+    EndpointListKind.CHANGES: "changes",
+}
 KIND_BY_WORD = {word: kind for kind, word in WORD_BY_KIND.items()}
 
 logger = get_logger(__name__)
@@ -62,7 +68,8 @@
     """The beginning of an endpoint list.
 
     Attributes:
-        kind: `FULL` for a list that discovery has reported, `CACHED` for one that the sender has from its own start.
+        kind: `FULL` for a list that discovery has reported, `CACHED` for one that the sender has from its own start,
+            `CHANGES` for the servers that have changed.
         version: the version of the list at `discovery`; None if it is unknown.
         discovery: host and port of the discovery that the sender calls.
         answered_ms: when that discovery answered the sender last; None if it has not.
@@ -111,7 +118,7 @@
 
 @dataclass(frozen=True)
 class ReportedList:
-    """An endpoint list as one process of an upgrade has it; see `ListBegin`."""
+    """An endpoint list, or a change of it, as one process of an upgrade has it; see `ListBegin`."""
 
     kind: EndpointListKind
     version: int | None
--- a/glenrock/upgrade/state_receiver.py
+++ b/glenrock/upgrade/state_receiver.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
+from collections.abc import Callable
 
 from glenrock.routing.interface import EndpointListKind
 
@@ -59,7 +59,7 @@
 
 
 class StateReceiver:
-    """Reads what the predecessor has been told.
+    """Reads what the predecessor has been told, at this process's start and from then on.
 
     Args:
         folder: the folder that both processes of an upgrade share.
@@ -71,25 +71,44 @@
         self._folder = folder
         self._balancer = balancer
         self._clock = clock
+        self._connection: StateConnection | None = None
+        self._assembler = ListAssembler()
 
-    async def receive(self) -> ReportedList | None:
+    async def receive_snapshot(self) -> ReportedList | None:
         """Returns the predecessor's endpoint list; None, with a line in the log, if it cannot be had in time."""
         started_ms = self._clock.now_ms()
         reported: ReportedList | None = None
         try:
-            with contextlib.closing(self._connect()) as connection:
-                async with self._clock.time_limit(SNAPSHOT_TIMEOUT_MS) as limit:
-                    reported = await self._read_snapshot(connection)
+            self._connection = self._connect()
+            async with self._clock.time_limit(SNAPSHOT_TIMEOUT_MS) as limit:
+                reported = await self._read_snapshot(self._connection)
             if limit.has_expired:
                 raise TimeoutError(f"not complete within {SNAPSHOT_TIMEOUT_MS:.0f} ms")
         except (OSError, EOFError, StateMessageError) as error:
             logger.warning("predecessor's endpoint list not received", error=error)
+            self._close()
             return None
         if reported:
             duration_ms = round(self._clock.now_ms() - started_ms, 1)
             logger.info("predecessor's endpoint list received", servers=len(reported.servers), ms=duration_ms)
         return reported
 
+    async def follow(self, on_list: Callable[[ReportedList], None]) -> None:
+        """Passes on later lists and changes of the predecessor, until it ends.
+
+        Args:
+            on_list: called with each of them.
+        """
+        if not self._connection:
+            return
+        try:
+            while True:
+                if reported := self._add(await self._connection.receive()):
+                    on_list(reported)
+        except (OSError, EOFError, StateMessageError) as error:
+            logger.info("connection to the predecessor ended", reason=error)
+            self._close()
+
     def _connect(self) -> StateConnection:
         sock = create_unix_socket()
         try:
@@ -100,18 +119,31 @@
             raise
         return StateConnection(sock)
 
+    def _close(self) -> None:
+        if self._connection:
+            self._connection.close()
+            self._connection = None
+
     async def _read_snapshot(self, connection: StateConnection) -> ReportedList:
         self._check_greeting(await connection.receive())
-        assembler = ListAssembler()
         reported: ReportedList | None = None
         while True:
-            match await connection.receive():
-                case ListBegin() | ServerPart() | ListEnd() as message:
-                    reported = assembler.add(message) or reported
-                case SnapshotEnd() if reported:
-                    return reported
-                case unexpected:
-                    raise StateMessageError(f"unexpected {type(unexpected).__name__}")
+            message = await connection.receive()
+            if isinstance(message, SnapshotEnd) and reported:
+                return reported
+            reported = self._add(message) or reported
+
+    def _add(self, message: StateMessage) -> ReportedList | None:
+        """Handles a message after the greeting. Returns the list that it completes.
+
+        Raises:
+            StateMessageError: the message does not belong here.
+        """
+        match message:
+            case ListBegin() | ServerPart() | ListEnd():
+                return self._assembler.add(message)
+            case _:
+                raise StateMessageError(f"unexpected {type(message).__name__}")
 
     def _check_greeting(self, message: StateMessage) -> None:
         if not isinstance(message, Greeting):
@@ -120,6 +152,20 @@
             raise StateMessageError(f"of another balancer, {message.balancer:.100}")
 
 
+def is_change_news(change: ReportedList, newest_version: int, discovery: str, has_answered: bool) -> bool:
+    """Returns whether this process uses a change that the predecessor was told.
+
+    Args:
+        change: the change, or a whole new list.
+        newest_version: the version of this process's list; negative if it is unknown.
+        discovery: host and port of the discovery that this process calls.
+        has_answered: whether that discovery has answered this process.
+    """
+    if change.discovery == discovery and change.version is not None:
+        return change.version > newest_version
+    return not has_answered
+
+
 def unusable_reason(reported: ReportedList, configured_version: int, discovery: str) -> str | None:
     """Returns why a start uses the configured list in place of the predecessor's; None if it uses the predecessor's.
 
--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -1,25 +1,28 @@
-"""Tells the successor in an upgrade what this process has been told."""
+"""Tells the successors in an upgrade what this process has been told, at their start and from then on."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections.abc import Callable
 
 from ..log import get_logger
+from ..net.mailbox import Mailbox
 from .state_connection import StateConnection
 from .state_message import SOCKET_NAME, Greeting, ReportedList, SnapshotEnd, encode, encode_list
-from .unix_socket import listen
+from .unix_socket import create_unix_socket, listen, socket_address
 
 LISTEN_BACKLOG = 4
 MAX_SUCCESSORS = 4  # connections at once; further ones are closed
+MAX_QUEUED_CHANGES = 64  # of one successor; one that reads more slowly gets the whole list instead
 
 logger = get_logger(__name__)
 
 
 class StateSender:
-    """Listens on the Unix socket that the successor connects to as it starts.
+    """Listens on the Unix socket that a successor connects to as it starts, and keeps each connection.
 
     Args:
         folder: the folder that both processes of an upgrade share.
@@ -31,40 +34,77 @@
         self._folder = folder
         self._balancer = balancer
         self._read_list = read_list
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._socket: socket.socket | None = None
+        self._inode = 0  # of the socket's file
+        self._queues: dict[asyncio.Task[None], Mailbox[ReportedList]] = {}  # by the task that serves a successor
 
     def listen(self) -> None:
         """Starts to accept successors. If the socket cannot be bound, a successor starts with its configured list."""
+        loop = asyncio.get_running_loop()
+        if self._socket:
+            loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
         try:
-            sock, _ = listen(self._folder, SOCKET_NAME, LISTEN_BACKLOG)
+            self._socket, self._inode = listen(self._folder, SOCKET_NAME, LISTEN_BACKLOG)
         except OSError as error:
             logger.warning("successors cannot be told the endpoint list", error=error)
             return
-        asyncio.get_running_loop().add_reader(sock, self._accept, sock)
+        loop.add_reader(self._socket, self._accept, self._socket)
+
+    def publish(self, change: ReportedList) -> None:
+        """Tells all connected successors a change of the list, or a whole new list."""
+        for queue in self._queues.values():
+            if not queue.try_put(change):
+                queue.messages.clear()
+                queue.put_unbounded(self._read_list())
 
     def _accept(self, listening_socket: socket.socket) -> None:
         with contextlib.suppress(OSError):
             sock, _ = listening_socket.accept()
-            if len(self._tasks) >= MAX_SUCCESSORS:
+            if len(self._queues) >= MAX_SUCCESSORS:
                 logger.warning("too many connections of successors, closing the new one")
                 sock.close()
                 return
             sock.setblocking(False)
-            task = asyncio.get_running_loop().create_task(self._serve(StateConnection(sock)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            queue: Mailbox[ReportedList] = Mailbox(MAX_QUEUED_CHANGES)
+            task = asyncio.get_running_loop().create_task(self._serve(StateConnection(sock), queue))
+            self._queues[task] = queue
+            task.add_done_callback(self._queues.pop)
 
-    async def _serve(self, connection: StateConnection) -> None:
+    async def _serve(self, connection: StateConnection, queue: Mailbox[ReportedList]) -> None:
+        """Sends the snapshot and then the changes, until the successor closes the connection."""
         with contextlib.closing(connection):
-            try:
-                await self._send_snapshot(connection)
-            except OSError as error:
-                logger.info("successor ended before it was told the endpoint list", error=error)
-
-    async def _send_snapshot(self, connection: StateConnection) -> None:
-        await connection.send(encode(Greeting(self._balancer)))
-        reported = self._read_list()
+            sending = asyncio.get_running_loop().create_task(self._send(connection, queue))
+            reading = asyncio.get_running_loop().create_task(connection.read_to_end())
+            await asyncio.wait([sending, reading], return_when=asyncio.FIRST_COMPLETED)
+            for task in (sending, reading):
+                task.cancel()
+            await asyncio.gather(sending, reading, return_exceptions=True)
+        logger.info("connection of a successor ended")
+        self._replace_dead_socket()
+
+    async def _send(self, connection: StateConnection, queue: Mailbox[ReportedList]) -> None:
+        with contextlib.suppress(OSError):
+            await connection.send(encode(Greeting(self._balancer)))
+            reported = self._read_list()
+            await self._send_list(connection, reported)
+            await connection.send(encode(SnapshotEnd()))
+            logger.info("successor told the endpoint list", servers=len(reported.servers), version=reported.version)
+            while True:
+                await self._send_list(connection, await queue.get())
+
+    async def _send_list(self, connection: StateConnection, reported: ReportedList) -> None:
         for data in encode_list(reported):
             await connection.send(data)
-        await connection.send(encode(SnapshotEnd()))
-        logger.info("successor told the endpoint list", servers=len(reported.servers), version=reported.version)
+
+    def _replace_dead_socket(self) -> None:
+        """Listens again if a successor had put its socket in the place of this one's, and has died."""
+        with contextlib.suppress(OSError), socket_address(self._folder, SOCKET_NAME) as path:
+            if os.stat(path).st_ino == self._inode:
+                return
+            with create_unix_socket() as probe:
+                try:
+                    probe.connect(path)
+                except ConnectionRefusedError:
+                    self.listen()
--- a/tests/upgrade/conftest.py
+++ b/tests/upgrade/conftest.py
@@ -6,6 +6,7 @@
 import functools
 import json
 import os
+import re
 import socket
 import sys
 from collections import Counter
@@ -25,6 +26,8 @@
 }
 MAX_READY_POLLS = 200
 READY_POLL_S = 0.05
+CHANGE_POLL_S = 0.01
+WATCH_PATTERN = re.compile(rb"GET /discovery/hosts\?index=(?P<version>\d+)&wait=(?P<wait_ms>\d+) ")
 LOG_FILE_MODE = 0o644
 OVERRIDING_VARIABLES = ("LB_NAME", "LB_LISTEN", "LB_DISCOVERY")  # would override keys of the configuration file
 
@@ -56,6 +59,7 @@
         processes: the balancer processes, in the order of their start.
         settings: the settings of processes that are started from now on.
         is_discovery_silent: whether service discovery leaves calls without an answer.
+        is_silent_to_new_connections: the same, for calls on connections that are opened from now on.
         cached_list: the list in the configuration of processes that are started from now on.
     """
 
@@ -69,6 +73,7 @@
         self.processes: list[asyncio.subprocess.Process] = []
         self.settings: dict[str, Any] = dict(SETTINGS)
         self.is_discovery_silent = False
+        self.is_silent_to_new_connections = False
         self._servers: list[asyncio.Server] = []
 
     async def open(self) -> None:
@@ -114,18 +119,28 @@
             writer.close()
 
     async def _serve_endpoint_list(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        is_silent = self.is_silent_to_new_connections
         try:
             while line := await reader.readline():
-                is_watch = line.startswith(b"GET /discovery/hosts?index=")
-                if self.is_discovery_silent:
+                watch = WATCH_PATTERN.match(line)
+                if watch:
+                    await self._wait_for_change(int(watch["version"]), int(watch["wait_ms"]))
+                if is_silent or self.is_discovery_silent:
                     continue
-                if is_watch and int(line.split(b"=")[1].split(b"&")[0]) >= self._endpoint_list["index"]:
-                    continue  # nothing changes until the end of the test
-                if is_watch or line.startswith(b"GET /discovery/hosts HTTP"):
+                if watch and int(watch["version"]) >= self._endpoint_list["index"]:
+                    writer.write(http_response(endpoint_list_response(int(watch["version"]), [], is_full=False)))
+                elif watch or line.startswith(b"GET /discovery/hosts HTTP"):
                     writer.write(http_response(self._endpoint_list))
         finally:
             writer.close()
 
+    async def _wait_for_change(self, version: int, wait_ms: int) -> None:
+        """Waits until the list is newer than `version`, for at most `wait_ms`."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_ms / 1000
+        while self._endpoint_list["index"] <= version and loop.time() < end_s:  # noqa: ASYNC110 - ends with the time too
+            await asyncio.sleep(CHANGE_POLL_S)
+
     async def start_process(self) -> int:
         """Starts a balancer process, and waits until it is ready. Returns the port for operators' calls."""
         number = len(self.processes)
--- a/tests/upgrade/test_predecessor_list.py
+++ b/tests/upgrade/test_predecessor_list.py
@@ -109,3 +109,18 @@
         assert await run_client(rig, 1, 1) == "kept"
 
     run_with_rig(scenario)
+
+
+def test_new_process_that_died_does_not_keep_the_next_one_from_the_list(run_with_rig: RunWithRig) -> None:
+    """Guards against a socket that stays with a process that was ready and has ended, beside its predecessor."""
+
+    async def scenario(rig: UpgradeRig) -> None:
+        await start_beside_silent_discovery(rig)
+        await rig.start_process()
+        rig.processes[1].kill()
+        await rig.processes[1].wait()
+        await rig.start_process()
+        await stop(rig, 0)
+        await check_nothing_goes_to_s1(rig)
+
+    run_with_rig(scenario)
--- a/tests/upgrade/test_state_message.py
+++ b/tests/upgrade/test_state_message.py
@@ -34,7 +34,7 @@
     encode,
     encode_list,
 )
-from glenrock.upgrade.state_receiver import ListAssembler, StateReceiver, unusable_reason
+from glenrock.upgrade.state_receiver import ListAssembler, StateReceiver, is_change_news, unusable_reason
 from glenrock.upgrade.unix_socket import listen
 
 BALANCER = "n0"
@@ -102,7 +102,7 @@
 async def receive(folder: Path, messages: list[bytes], closes: bool = True) -> ReportedList | None:
     """Returns what a successor receives from a predecessor that sends these messages."""
     sock, _ = listen(str(folder), SOCKET_NAME, 1)
-    receiving = asyncio.create_task(StateReceiver(str(folder), BALANCER, Clock()).receive())
+    receiving = asyncio.create_task(StateReceiver(str(folder), BALANCER, Clock()).receive_snapshot())
     with sock:
         connection, _ = await asyncio.get_running_loop().sock_accept(sock)
         with connection:
@@ -183,3 +183,22 @@
 ) -> None:
     found = unusable_reason(reported, configured_version, DISCOVERY)
     assert found is None if reason is None else found is not None and reason in found
+
+
+@pytest.mark.parametrize(
+    ("version", "discovery", "has_answered", "is_news"),
+    [
+        (8, DISCOVERY, True, True),
+        (7, DISCOVERY, False, False),
+        (6, DISCOVERY, True, False),
+        (None, DISCOVERY, False, True),
+        (None, DISCOVERY, True, False),
+        (8, "127.0.0.1:1", False, True),
+        (8, "127.0.0.1:1", True, False),
+    ],
+)
+def test_change_counts_unless_this_process_has_been_told_as_much(
+    version: int | None, discovery: str, has_answered: bool, is_news: bool
+) -> None:
+    change = reported_list([server(1)], version, EndpointListKind.CHANGES, discovery)
+    assert is_change_news(change, 7, DISCOVERY, has_answered) is is_news
--- a/tests/upgrade/test_taken_over_state.py
+++ b/tests/upgrade/test_taken_over_state.py
@@ -42,3 +42,25 @@
             assert abs(taken_over.started_us - known.started_us) < TOLERANCE_US
 
     run_with_rig(scenario)
+
+
+@pytest.mark.parametrize("registry_mode", ["push", "ask"])
+def test_change_that_only_the_old_program_is_told_binds_the_new_one(
+    run_with_rig: RunWithRig, monkeypatch: pytest.MonkeyPatch, registry_mode: str
+) -> None:
+    """Guards against a successor that does not know of a drain that its predecessor is told of after both are ready."""
+
+    async def scenario(rig: UpgradeRig) -> None:
+        async with two_programs(rig, monkeypatch) as programs:
+            old = await programs.start(registryMode=registry_mode)
+            await programs.wait_for_server(old, "s1", lambda server: server.is_ready)
+            rig.is_silent_to_new_connections = True
+            new = await programs.start(registryMode=registry_mode)
+            rig.report_endpoints(version=3, s1="DRAINING")
+            await programs.wait_for_server(old, "s1", lambda server: not server.is_ready)
+            await programs.wait_for_server(new, "s1", lambda server: not server.is_ready)
+            assert new.endpoints.newest_version == 3
+            rig.report_endpoints(version=4)
+            await programs.wait_for_server(new, "s1", lambda server: server.is_ready)
+
+    run_with_rig(scenario)
