What one process of an upgrade has spent of a slow-start budget counts for the next

Cause: the record of sends stayed in the routing of the old process.

Change: a process that stops tells its successors the sends of the present windows (ServerSends), and routing counts them by a new event, SlowStartSends. They are told at the stop and not at the start of the successor, whose budget follows from the load of its connections and is next to nothing until the relays come.

--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -343,6 +343,8 @@
         """
         await self._serve_until(stop)
         logger.info("stopping", clients=len(self.connections.by_id))
+        if self._upgrade:
+            self._upgrade.publish_slow_start_sends()
         relay_sender = self._upgrade.create_relay_sender() if self._upgrade else None
         if self.coordination:
             self.start_task(self.coordination.stop())
--- a/glenrock/routing/balancer.py
+++ b/glenrock/routing/balancer.py
@@ -39,6 +39,7 @@
     OperatorOverride,
     Request,
     Settings,
+    SlowStartSends,
     TimerFired,
 )
 from .load_estimation import LoadEstimator
@@ -98,6 +99,7 @@
             GossipReceived: self._on_gossip,
             OperatorOverride: self._on_override,
             DrainMode: self._on_drain_mode,
+            SlowStartSends: self._on_slow_start_sends,
         }
 
     def _build_state(self, salt: int) -> None:
@@ -276,6 +278,10 @@
             server is None or not server.is_ready or not self.ejection.is_usable(server) for server in found
         )
 
+    def slow_start_sends(self) -> list[SlowStartSends]:
+        """Returns the load that was sent from the present slow-start budgets, by server."""
+        return self.slow_start.present_sends()
+
     # -- events --------------------------------------------------------------------------------------
 
     def _on_endpoint_list(self, event: EndpointList) -> None:
@@ -367,6 +373,11 @@
         if event.is_draining:
             self.slow_start.clear_reference_load()  # the other balancers take over these clients
 
+    def _on_slow_start_sends(self, event: SlowStartSends) -> None:
+        server = self.servers.get(event.server_id)
+        if server:
+            self.slow_start.take_over_sends(server, event.sends)
+
     # -- periodic round ------------------------------------------------------------------------------
 
     def _run_round(self) -> None:
--- a/glenrock/routing/interface.py
+++ b/glenrock/routing/interface.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import NamedTuple
 
 
 class Idempotency(StrEnum):
@@ -408,6 +409,21 @@
     is_draining: bool
 
 
+class SentLoad(NamedTuple):
+    """Load that was sent to a server, in microseconds of work per second, and when it was sent."""
+
+    at_us: int
+    load: float
+
+
+@dataclass(slots=True)
+class SlowStartSends:
+    """Another process of this balancer has sent load to a server that is warming up, from the same budget."""
+
+    server_id: str
+    sends: tuple[SentLoad, ...]
+
+
 @dataclass(slots=True)
 class GossipReceived:
     """A gossip summary from the balancer with index `peer_index`."""
@@ -429,6 +445,7 @@
     | GossipReceived
     | OperatorOverride
     | DrainMode
+    | SlowStartSends
 )
 
 
--- a/glenrock/routing/slow_start.py
+++ b/glenrock/routing/slow_start.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from .capacity_estimation import CapacityEstimator
 from .event_batch import EventBatch
 from .hash_ring import HASH_MASK, mix
-from .interface import Settings
+from .interface import SentLoad, Settings, SlowStartSends
 from .load_estimation import LoadEstimator
 from .state import Peer, Server, TimedLoad
 
@@ -131,15 +131,13 @@
         warmth = self.warmth(server)
         if warmth >= 1:
             return float("inf")
-        settings, now_us = self._settings, self._batch.now_us
+        settings = self._settings
         window_us = settings.slow_start_window_us
         window_fraction = min(1.0, window_us / max(1, settings.slow_start_us))
         server_count = self._capacity.warm_server_count or max(1, len(self._servers))
         fleet_load = max(BUDGET_MIN_FLEET_LOAD, self._loads.fleet_load)
         budget_fraction = self._budget_multiple * warmth * window_fraction / (server_count * fleet_load)
-        server.slow_start_sends = [
-            sent for sent in server.slow_start_sends if now_us - sent.at_us < window_us
-        ]
+        self._forget_earlier_sends(server)
         budget = budget_fraction * self.reference_load
         left = budget - sum(load for _, load in server.slow_start_sends)
         if not server.slow_start_sends:
@@ -159,6 +157,26 @@
         draw = max(MIN_DRAW, mix(server.hash ^ self._salt ^ mix(window)) / HASH_MASK)
         return min(1 / draw, self._settings.balancers / 2)
 
+    def _forget_earlier_sends(self, server: Server) -> None:
+        """Forgets load that was sent before the present window."""
+        from_us = self._batch.now_us - self._settings.slow_start_window_us
+        server.slow_start_sends = [sent for sent in server.slow_start_sends if sent.at_us > from_us]
+
+    def present_sends(self) -> list[SlowStartSends]:
+        """Returns the load that was sent in the present windows, by server."""
+        present = []
+        for server in self._servers.values():
+            if server.slow_start_sends and not self.is_warm(server):
+                self._forget_earlier_sends(server)
+                sends = tuple(SentLoad(sent.at_us, sent.load) for sent in server.slow_start_sends)
+                present.append(SlowStartSends(server.server_id, sends))
+        return [event for event in present if event.sends]
+
+    def take_over_sends(self, server: Server, sends: Iterable[SentLoad]) -> None:
+        """Counts load that another process of this balancer has sent to a server in its slow start."""
+        if not self.is_warm(server):
+            server.slow_start_sends += [TimedLoad(sent.at_us, sent.load) for sent in sends]
+
     def record_sent(self, server: Server, load: float) -> None:
         """Records load that was sent to a server, if the server is warming up."""
         if not self.is_warm(server):
--- a/glenrock/upgrade/process_upgrade.py
+++ b/glenrock/upgrade/process_upgrade.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from glenrock.routing import interface
 from glenrock.routing.interface import EndpointListKind
 
 from ..log import get_logger
-from ..net.clock import Clock
+from ..net.clock import Clock, ms_from_us, us_from_ms
 from ..net.connection_table import ConnectionTable
 from ..net.endpoint_rows import EndpointRow
 from ..net.endpoint_watcher import NO_VERSION, EndpointWatcher
@@ -22,7 +23,7 @@
 from .process_registry import ProcessRegistry
 from .relay_receiver import RelayReceiver
 from .relay_sender import RelaySender
-from .state_message import ReportedList, ToldServer
+from .state_message import ReportedList, ServerSend, ServerSends, ToldServer
 from .state_receiver import StateReceiver, is_change_news, unusable_reason
 from .state_sender import StateSender
 
@@ -110,7 +111,17 @@
         await self._state_receiver.follow(self._use_change)
         await asyncio.get_running_loop().create_future()
 
-    def _use_change(self, change: ReportedList) -> None:
+    def _use_change(self, change: ReportedList | ServerSends) -> None:
+        if isinstance(change, ReportedList):
+            self._use_list_change(change)
+            return
+        clock = self._parts.clock
+        sends = tuple(
+            interface.SentLoad(us_from_ms(clock.from_machine_ms(sent.at_ms)), sent.load) for sent in change.sends
+        )
+        self._parts.routing.post_required(interface.SlowStartSends(change.name, sends))
+
+    def _use_list_change(self, change: ReportedList) -> None:
         """Uses a change of the predecessor's list, unless this process has been told as much."""
         endpoints = self._parts.endpoints
         has_answered = endpoints.has_answered.is_set()
@@ -152,6 +163,13 @@
         if kind in (EndpointListKind.FULL, EndpointListKind.CHANGES):
             self._state_sender.publish(self._build_list(kind, rows))
 
+    def publish_slow_start_sends(self) -> None:
+        """Tells the successors what this process has spent of slow-start budgets, as it stops to spend."""
+        clock = self._parts.clock
+        for event in self._parts.routing.balancer.slow_start_sends():
+            sends = tuple(ServerSend(clock.to_machine_ms(ms_from_us(sent.at_us)), sent.load) for sent in event.sends)
+            self._state_sender.publish(ServerSends(event.server_id, sends))
+
     def _reported_list(self) -> ReportedList:
         servers = self._parts.servers
         kind = EndpointListKind.FULL if servers.has_list else EndpointListKind.CACHED
--- a/glenrock/upgrade/state_message.py
+++ b/glenrock/upgrade/state_message.py
@@ -4,7 +4,8 @@
 
     Greeting, ListBegin, ServerPart (any number), ListEnd, SnapshotEnd
 
-and then, while both processes run, ListBegin to ListEnd for each change of its list.
+and then, while both processes run, ListBegin to ListEnd for each change of its list, and ServerSends when the
+old one stops.
 
 Times are CLOCK_MONOTONIC in milliseconds, which both processes share, whatever happens to the wall clock.
 
@@ -32,11 +33,13 @@
 MAX_MESSAGE_BYTES = 32_768
 MAX_ROWS_PER_MESSAGE = 64  # a part takes the event loop well under a millisecond
 MAX_LIST_ROWS = MAX_SERVERS  # of a whole list
+MAX_SENDS_PER_SERVER = 256  # the latest; a slow start allows a few connections in a window
 
 GREETING = "greeting"
 LIST_BEGIN = "list"
 ROWS = "rows"
 LIST_END = "list_end"
+SENDS = "sends"
 SNAPSHOT_END = "end"
 WORD_BY_KIND = {
     EndpointListKind.FULL: "full",
@@ -113,7 +116,23 @@
     """The end of what the sender knew when the receiver connected."""
 
 
-StateMessage = Greeting | ListBegin | ServerPart | ListEnd | SnapshotEnd
+@dataclass(frozen=True)
+class ServerSend:
+    """Load that was sent to a server, in microseconds of work per second, and when."""
+
+    at_ms: float
+    load: float
+
+
+@dataclass(frozen=True)
+class ServerSends:
+    """What the sender has spent of a server's slow-start budget."""
+
+    name: str
+    sends: tuple[ServerSend, ...]
+
+
+StateMessage = Greeting | ListBegin | ServerPart | ListEnd | SnapshotEnd | ServerSends
 
 
 @dataclass(frozen=True)
@@ -130,12 +149,12 @@
 # -- encoding ------------------------------------------------------------------------------------------
 
 
-def encode(message: Greeting | ListBegin | ListEnd | SnapshotEnd) -> bytes:
+def encode(message: Greeting | ListBegin | ListEnd | SnapshotEnd | ServerSends) -> bytes:
     """Returns the bytes of a message."""
     return json.dumps(_content_of(message)).encode()
 
 
-def _content_of(message: Greeting | ListBegin | ListEnd | SnapshotEnd) -> dict[str, Any]:
+def _content_of(message: Greeting | ListBegin | ListEnd | SnapshotEnd | ServerSends) -> dict[str, Any]:
     match message:
         case Greeting(balancer):
             return {"kind": GREETING, "version": VERSION, "balancer": balancer}
@@ -151,6 +170,9 @@
             return {"kind": LIST_END, "rows": row_count}
         case SnapshotEnd():
             return {"kind": SNAPSHOT_END}
+        case ServerSends(name, sends):
+            latest = sends[-MAX_SENDS_PER_SERVER:]
+            return {"kind": SENDS, "name": name, "sends": [[sent.at_ms, sent.load] for sent in latest]}
 
 
 def encode_list(reported: ReportedList) -> Iterator[bytes]:
@@ -216,6 +238,8 @@
             return ListEnd(_integer(content["rows"]))
         case "end":
             return SnapshotEnd()
+        case "sends":
+            return _decode_sends(content)
         case _:
             return None
 
@@ -238,10 +262,21 @@
     return value
 
 
+def _decode_sends(content: dict[str, Any]) -> ServerSends:
+    sends = content["sends"]
+    if len(sends) > MAX_SENDS_PER_SERVER:
+        raise StateMessageError(f"{len(sends)} sends of a server, at most {MAX_SENDS_PER_SERVER} are read")
+    return ServerSends(_text(content["name"]), tuple(ServerSend(_number(at), _number(load)) for at, load in sends))
+
+
+def _number(value: Any) -> float:
+    if not isinstance(value, int | float) or not isfinite(value):
+        raise StateMessageError(f"expected a number, got {value!r:.100}")
+    return float(value)
+
+
 def _optional_ms(value: Any) -> float | None:
-    if value is not None and not (isinstance(value, int | float) and isfinite(value)):
-        raise StateMessageError(f"expected a time, got {value!r:.100}")
-    return None if value is None else float(value)
+    return None if value is None else _number(value)
 
 
 def _integer(value: Any) -> int:
--- a/glenrock/upgrade/state_receiver.py
+++ b/glenrock/upgrade/state_receiver.py
@@ -17,6 +17,7 @@
     ListEnd,
     ReportedList,
     ServerPart,
+    ServerSends,
     SnapshotEnd,
     StateMessage,
     StateMessageError,
@@ -93,18 +94,16 @@
             logger.info("predecessor's endpoint list received", servers=len(reported.servers), ms=duration_ms)
         return reported
 
-    async def follow(self, on_list: Callable[[ReportedList], None]) -> None:
-        """Passes on later lists and changes of the predecessor, until it ends.
-
-        Args:
-            on_list: called with each of them.
-        """
+    async def follow(self, on_change: Callable[[ReportedList | ServerSends], None]) -> None:
+        """Passes on what the predecessor tells after its snapshot, until it ends."""
         if not self._connection:
             return
         try:
             while True:
-                if reported := self._add(await self._connection.receive()):
-                    on_list(reported)
+                message = await self._connection.receive()
+                change = message if isinstance(message, ServerSends) else self._add(message)
+                if change:
+                    on_change(change)
         except (OSError, EOFError, StateMessageError) as error:
             logger.info("connection to the predecessor ended", reason=error)
             self._close()
--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -11,13 +11,24 @@
 from ..log import get_logger
 from ..net.mailbox import Mailbox
 from .state_connection import StateConnection
-from .state_message import SOCKET_NAME, Greeting, ReportedList, SnapshotEnd, encode, encode_list
+from .state_message import (
+    SOCKET_NAME,
+    Greeting,
+    ReportedList,
+    ServerSends,
+    SnapshotEnd,
+    encode,
+    encode_list,
+)
 from .unix_socket import create_unix_socket, listen, socket_address
 
 LISTEN_BACKLOG = 4
 MAX_SUCCESSORS = 4  # connections at once; further ones are closed
 MAX_QUEUED_CHANGES = 64  # of one successor; one that reads more slowly gets the whole list instead
 
+StateChange = ReportedList | ServerSends
+"""What a successor is told after the snapshot."""
+
 logger = get_logger(__name__)
 
 
@@ -36,7 +47,7 @@
         self._read_list = read_list
         self._socket: socket.socket | None = None
         self._inode = 0  # of the socket's file
-        self._queues: dict[asyncio.Task[None], Mailbox[ReportedList]] = {}  # by the task that serves a successor
+        self._queues: dict[asyncio.Task[None], Mailbox[StateChange]] = {}  # by the task that serves a successor
 
     def listen(self) -> None:
         """Starts to accept successors. If the socket cannot be bound, a successor starts with its configured list."""
@@ -52,8 +63,8 @@
             return
         loop.add_reader(self._socket, self._accept, self._socket)
 
-    def publish(self, change: ReportedList) -> None:
-        """Tells all connected successors a change of the list, or a whole new list."""
+    def publish(self, change: StateChange) -> None:
+        """Tells all connected successors a change."""
         for queue in self._queues.values():
             if not queue.try_put(change):
                 queue.messages.clear()
@@ -67,12 +78,12 @@
                 sock.close()
                 return
             sock.setblocking(False)
-            queue: Mailbox[ReportedList] = Mailbox(MAX_QUEUED_CHANGES)
+            queue: Mailbox[StateChange] = Mailbox(MAX_QUEUED_CHANGES)
             task = asyncio.get_running_loop().create_task(self._serve(StateConnection(sock), queue))
             self._queues[task] = queue
             task.add_done_callback(self._queues.pop)
 
-    async def _serve(self, connection: StateConnection, queue: Mailbox[ReportedList]) -> None:
+    async def _serve(self, connection: StateConnection, queue: Mailbox[StateChange]) -> None:
         """Sends the snapshot and then the changes, until the successor closes the connection."""
         with contextlib.closing(connection):
             sending = asyncio.get_running_loop().create_task(self._send(connection, queue))
@@ -84,18 +95,19 @@
         logger.info("connection of a successor ended")
         self._replace_dead_socket()
 
-    async def _send(self, connection: StateConnection, queue: Mailbox[ReportedList]) -> None:
+    async def _send(self, connection: StateConnection, queue: Mailbox[StateChange]) -> None:
         with contextlib.suppress(OSError):
             await connection.send(encode(Greeting(self._balancer)))
             reported = self._read_list()
-            await self._send_list(connection, reported)
+            await self._send_change(connection, reported)
             await connection.send(encode(SnapshotEnd()))
             logger.info("successor told the endpoint list", servers=len(reported.servers), version=reported.version)
             while True:
-                await self._send_list(connection, await queue.get())
+                await self._send_change(connection, await queue.get())
 
-    async def _send_list(self, connection: StateConnection, reported: ReportedList) -> None:
-        for data in encode_list(reported):
+    async def _send_change(self, connection: StateConnection, change: StateChange) -> None:
+        messages = encode_list(change) if isinstance(change, ReportedList) else iter([encode(change)])
+        for data in messages:
             await connection.send(data)
 
     def _replace_dead_socket(self) -> None:
--- a/tests/upgrade/test_state_message.py
+++ b/tests/upgrade/test_state_message.py
@@ -20,6 +20,7 @@
     MAX_LIST_ROWS,
     MAX_MESSAGE_BYTES,
     MAX_ROWS_PER_MESSAGE,
+    MAX_SENDS_PER_SERVER,
     SOCKET_NAME,
     VERSION,
     Greeting,
@@ -27,6 +28,8 @@
     ListEnd,
     ReportedList,
     ServerPart,
+    ServerSend,
+    ServerSends,
     SnapshotEnd,
     StateMessageError,
     ToldServer,
@@ -88,6 +91,12 @@
         decode(data.encode() if isinstance(data, str) else data)
 
 
+@pytest.mark.parametrize("count", [0, 1, MAX_SENDS_PER_SERVER + 3])
+def test_latest_sends_of_a_server_arrive(count: int) -> None:
+    sends = tuple(ServerSend(-1.5 + number, 2.25 * number) for number in range(count))
+    assert decode(encode(ServerSends("s-1", sends))) == ServerSends("s-1", sends[-MAX_SENDS_PER_SERVER:])
+
+
 GREETING = encode(Greeting(BALANCER))
 LIST = list(encode_list(reported_list([server(1), server(2)])))
 END = encode(SnapshotEnd())
@@ -136,8 +145,8 @@
         ([GREETING.replace(b'"version": %d' % VERSION, b'"version": 99'), *LIST, END], "version 99"),
         ([GREETING, *LIST[:1], ROWS_MESSAGE[:-20]], "invalid message"),
         ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"SERVING", b"SINGING")], "invalid message"),
-        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"-2.5", b"NaN")], "expected a time"),
-        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"-2.5", b'"1"')], "expected a time"),
+        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"-2.5", b"NaN")], "expected a number"),
+        ([GREETING, *LIST[:1], ROWS_MESSAGE.replace(b"-2.5", b'"1"')], "expected a number"),
         ([GREETING, *LIST[:1], b" " * MAX_MESSAGE_BYTES + b"{}"], "invalid message"),
     ],
 )
--- a/tests/upgrade/test_taken_over_state.py
+++ b/tests/upgrade/test_taken_over_state.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from glenrock.routing.state import Server
+from glenrock.net.clock import us_from_ms
+from glenrock.routing.state import Server, TimedLoad
 
 from .conftest import RunWithRig, UpgradeRig
 from .two_programs import two_programs
@@ -15,6 +16,9 @@
 TOLERANCE_US = 1000
 
 
+LOAD = 12_500.0
+
+
 def has_started(server: Server) -> bool:
     """Returns whether discovery has reported a start of the server."""
     return server.started_us > 0
@@ -64,3 +68,26 @@
             await programs.wait_for_server(new, "s1", lambda server: server.is_ready)
 
     run_with_rig(scenario)
+
+
+def test_spent_slow_start_budget_is_spent_for_the_new_program(
+    run_with_rig: RunWithRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two processes that each send a whole slow-start budget to a server within one window."""
+
+    async def scenario(rig: UpgradeRig) -> None:
+        async with two_programs(rig, monkeypatch) as programs:
+            old = await programs.start()
+            rig.report_endpoints(version=3, since_ms=time.time() * 1000)
+            cold = await programs.wait_for_server(old, "s1", has_started)
+            now_us = us_from_ms(old.clock.now_ms())
+            window_us = old.routing.balancer.settings.slow_start_window_us
+            cold.slow_start_sends = [TimedLoad(now_us - 2 * window_us, LOAD), TimedLoad(now_us, LOAD)]
+            new = await programs.start()
+            programs.stop(old)
+            taken_over = await programs.wait_for_server(new, "s1", lambda server: bool(server.slow_start_sends))
+            [sent] = taken_over.slow_start_sends
+            assert sent.load == LOAD and abs(sent.at_us - now_us) < TOLERANCE_US
+            await programs.wait_for_server(new, "s2", lambda server: not server.slow_start_sends)
+
+    run_with_rig(scenario)
--- a/tests/upgrade/two_programs.py
+++ b/tests/upgrade/two_programs.py
@@ -44,6 +44,7 @@
         self.rig = rig
         self.programs: list[Program] = []
         self._running: list[asyncio.Task[None]] = []
+        self._stop_events: list[asyncio.Event] = []
         # Both programs have the process id of the test, so the registry cannot tell them apart.
         monkeypatch.setattr(
             ProcessRegistry, "count_other_descriptors", lambda _: OTHER_DESCRIPTORS * (len(self.programs) - 1)
@@ -68,9 +69,15 @@
         program = Program(config, Clock())
         self.programs.append(program)
         await program.start()
-        self._running.append(asyncio.create_task(program.run_until(asyncio.Event())))
+        stop = asyncio.Event()
+        self._stop_events.append(stop)
+        self._running.append(asyncio.create_task(program.run_until(stop)))
         return program
 
+    def stop(self, program: Program) -> None:
+        """Stops a program, as SIGTERM does."""
+        self._stop_events[self.programs.index(program)].set()
+
     async def wait_for_server(self, program: Program, name: str, is_reached: Callable[[Server], bool]) -> Server:
         """Waits until routing has the server and a condition holds for it, and returns it."""
         servers = program.routing.balancer.servers
