The new process of an upgrade continues an operator's drain

Cause: each process had a drain of its own. It was left so since a new process that is drained would never say yes in readyz, and the old one gets SIGTERM only at that yes.

Change: the state that the predecessor tells has the drain with its start, and each process tells the other each change while both run. readyz of a process that has taken a drain over is 200 until its predecessor has ended, then 503 until `activate`; PING says no all the time.

--- a/glenrock/coordination/drain_limiter.py
+++ b/glenrock/coordination/drain_limiter.py
@@ -56,7 +56,13 @@
         context.leases.answer_listeners.append(self._on_answer)
 
     def start(self) -> None:
-        """Starts the tasks that release permits of earlier incarnations and keep this one's permit."""
+        """Starts the tasks that release permits of earlier incarnations and keep this one's permit.
+
+        A drain that was taken over in an upgrade requests a permit: that of the predecessor ends with its lease.
+        """
+        if self._context.host.drain.is_manually_draining:
+            self.lost_job = self._jobs[0]
+            self._leases.request_lease(self.lost_job)
         self._context.tasks.run(self._release_old_permits())
         self._context.tasks.run(self._record_work())
 
@@ -174,7 +180,7 @@
             await asyncio.sleep(self._leases.timing.lease_us / SECOND_US / WORK_RECORDS_PER_LEASE)
 
     async def _release_old_permits(self) -> None:
-        """Releases the permits of earlier incarnations once this one serves clients."""
+        """Releases the permits of earlier incarnations once this one serves clients and is not drained."""
         old_permits = dict(self._stored_permits)
         if not old_permits:
             return
@@ -189,7 +195,8 @@
 
     def _is_serving(self) -> bool:
         operators = self._context.host.operators
-        return bool(operators and operators.operations.is_serving)
+        is_drained = self._context.host.drain.is_manually_draining
+        return bool(operators and operators.operations.is_serving and not is_drained)
 
     async def _release_for(self, job: str, permit: StoredPermit) -> None:
         """Releases a permit of an earlier incarnation; retries until the store answers."""
--- a/glenrock/net/drain_state.py
+++ b/glenrock/net/drain_state.py
@@ -24,6 +24,8 @@
         manual_started_ms: when the manual drain began, on the process's clock; None without one.
         is_stopping: whether the process has been asked to stop.
         is_closing: whether the process answers its last connections before it ends.
+        is_replacing: whether the drain was taken over from a predecessor in an upgrade that still runs.
+        on_manual_change: called after each begin and end of a manual drain.
 
     Args:
         clock: the process's clock.
@@ -34,6 +36,8 @@
         self.manual_started_ms: float | None = None
         self.is_stopping = False
         self.is_closing = False
+        self.is_replacing = False
+        self.on_manual_change: Callable[[], None] = _ignore
         self._clock = clock
         self._post_drain_mode = post_drain_mode
 
@@ -57,13 +61,14 @@
         return self._clock.now_ms() >= self.manual_started_ms + MANUAL_REJECT_AFTER_MS
 
     def unready_reason(self) -> str | None:
-        """Returns why the front end should send no new clients here; None if it may.
+        """Returns why an operator should not rely on this process; None if it is ready.
 
-        Clients that still connect are served for a while.
+        The process that takes over a drained balancer in an upgrade is ready as long as its predecessor runs: it can
+        replace it. Its clients are told no all the same.
         """
         if self.is_stopping:
             return "not ready: stopping"
-        return "not ready: draining" if self.is_manually_draining else None
+        return "not ready: draining" if self.is_manually_draining and not self.is_replacing else None
 
     # -- changes ---------------------------------------------------------------------------------------
 
@@ -90,6 +95,7 @@
             return False
         self.manual_started_ms = started_ms
         self._post_drain_mode(interface.DrainMode(True))
+        self.on_manual_change()
         return True
 
     def end_manual(self) -> bool:
@@ -103,6 +109,7 @@
             return False
         self.manual_started_ms = None
         self._post_drain_mode(interface.DrainMode(False))
+        self.on_manual_change()
         return True
 
     def begin_stopping(self) -> None:
@@ -114,3 +121,7 @@
     def begin_closing(self) -> None:
         """Records that the process answers its last connections, and accepts no request any more."""
         self.is_closing = True
+
+
+def _ignore() -> None:
+    """The default of `on_manual_change`."""
--- a/glenrock/net/graceful_shutdown.py
+++ b/glenrock/net/graceful_shutdown.py
@@ -73,7 +73,17 @@
         Raises:
             OperationRejectedError: the process is stopping.
         """
-        started_ms = self._clock.now_ms()
+        self.continue_manual_drain(self._clock.now_ms())
+
+    def continue_manual_drain(self, started_ms: float) -> None:
+        """Continues a manual drain that another process of this balancer has begun, unless one is in progress here.
+
+        Args:
+            started_ms: when the drain began, on the process's clock.
+
+        Raises:
+            OperationRejectedError: the process is stopping.
+        """
         if self._state.begin_manual(started_ms):
             logger.info("drain started", clients=len(self._table.by_id))
             self._manual_drain = asyncio.get_running_loop().create_task(self._drain(started_ms))
@@ -96,7 +106,7 @@
         The steps go on in a shutdown, whose own migration may take longer.
         """
         end_ms = started_ms + MANUAL_DRAIN_MS
-        await self._clock.sleep(FRONT_END_NOTICE_MS)
+        await self._clock.sleep(max(0.0, started_ms + FRONT_END_NOTICE_MS - self._clock.now_ms()))
         while True:
             now_ms = self._clock.now_ms()
             self._migrate_step(end_ms - now_ms)
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -128,6 +128,8 @@
         servers=program.servers,
         endpoints=program.endpoints,
         start_times=program.start_times,
+        drain=program.drain,
+        shutdown=program.shutdown,
         clock=program.clock,
     )
     return ProcessUpgrade(program.config.shared_folder, descriptor, program.config.name, parts)
@@ -252,9 +254,11 @@
             self._upgrade.register_process()
         if self.operators:
             self.operators.start(self)
+        if self._upgrade:
+            await self._upgrade.receive_state()
         if self.coordination:
             self.coordination.start()
-        has_reported_list = await self._use_first_list()
+        has_reported_list = self._use_first_list()
         self.start_task(self.routing.run())
         is_successor = self._upgrade is not None and self._upgrade.has_predecessor
         self.start_task(self.endpoints.run(is_successor=is_successor))
@@ -263,14 +267,14 @@
         self._accept_clients()
         logger.info("ready", balancer=self.config.name, address=self.config.listen)
 
-    async def _use_first_list(self) -> bool:
+    def _use_first_list(self) -> bool:
         """Uses the predecessor's endpoint list in an upgrade, or else the configured one, until discovery responds.
 
         Returns:
             Whether discovery has reported the list, to this process or its predecessor.
         """
         configured = self.config.raw_cached_endpoints
-        if self._upgrade is None or not await self._upgrade.use_predecessor_list(configured):
+        if self._upgrade is None or not self._upgrade.use_predecessor_list(configured):
             self.endpoints.use_cached_list(configured)
         return self.servers.has_list
 
@@ -293,6 +297,7 @@
             self._upgrade.receive_relays()
             self._upgrade.tell_successors()
             self.start_task(self._upgrade.follow_predecessor())
+            self.start_task(self._upgrade.tell_predecessor())
         if self.operators:
             self.operators.operations.is_serving = True
 
--- a/glenrock/upgrade/process_upgrade.py
+++ b/glenrock/upgrade/process_upgrade.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -14,16 +15,27 @@
 from ..log import get_logger
 from ..net.clock import Clock, ms_from_us, us_from_ms
 from ..net.connection_table import ConnectionTable
+from ..net.drain_state import DrainState
 from ..net.endpoint_rows import EndpointRow
 from ..net.endpoint_watcher import NO_VERSION, EndpointWatcher
+from ..net.graceful_shutdown import GracefulShutdown
 from ..net.routing_actor import RoutingActor
 from ..net.server_connections import ServerRegistry
 from ..net.start_times import KnownStart, StartTimes
+from ..operation_errors import OperationRejectedError
 from .inherited_listener import open_inherited
 from .process_registry import ProcessRegistry
 from .relay_receiver import RelayReceiver
 from .relay_sender import RelaySender
-from .state_message import ReportedList, ServerSend, ServerSends, ToldServer
+from .state_message import (
+    ManualDrain,
+    ReportedList,
+    ServerSend,
+    ServerSends,
+    StateChange,
+    StateSnapshot,
+    ToldServer,
+)
 from .state_receiver import StateReceiver, is_change_news, unusable_reason
 from .state_sender import StateSender
 
@@ -39,6 +51,8 @@
     servers: ServerRegistry
     endpoints: EndpointWatcher
     start_times: StartTimes
+    drain: DrainState
+    shutdown: GracefulShutdown
     clock: Clock
 
 
@@ -64,7 +78,10 @@
         self._parts = parts
         self._relay_receiver = RelayReceiver(folder, parts.connections)
         self._state_receiver = StateReceiver(folder, balancer, parts.clock)
-        self._state_sender = StateSender(folder, balancer, self._reported_list)
+        self._state_sender = StateSender(folder, balancer, self._read_state, self._use_drain)
+        self._snapshot: StateSnapshot | None = None
+        self._drain_changed = asyncio.Event()
+        parts.drain.on_manual_change = self._publish_drain
         self._processes = ProcessRegistry(folder, os.getpid())
 
     def register_process(self) -> None:
@@ -86,16 +103,23 @@
 
     # -- the predecessor -------------------------------------------------------------------------------
 
-    async def use_predecessor_list(self, configured: dict[str, Any]) -> bool:
-        """Uses the predecessor's endpoint list. Returns False if the configured list is to be used.
+    async def receive_state(self) -> None:
+        """Receives what the predecessor was told, and continues its manual drain."""
+        if not self._folder or not self.has_predecessor:
+            return
+        self._snapshot = await self._state_receiver.receive_snapshot()
+        if self._snapshot:
+            self._use_predecessor_drain(self._snapshot.manual_drain)
+
+    def use_predecessor_list(self, configured: dict[str, Any]) -> bool:
+        """Uses the endpoint list that was received. Returns False if the configured list is to be used.
 
         Args:
             configured: the configured list, in discovery's form.
         """
-        is_told = self._folder and self.has_predecessor
-        reported = await self._state_receiver.receive_snapshot() if is_told else None
-        if reported is None:
+        if self._snapshot is None:
             return False
+        reported, self._snapshot = self._snapshot.reported, None
         endpoints = self._parts.endpoints
         discovery = str(endpoints.address)
         version = configured.get("index")
@@ -109,17 +133,45 @@
     async def follow_predecessor(self) -> None:
         """Uses what the predecessor is told from now on, until it ends. Then waits for ever."""
         await self._state_receiver.follow(self._use_change)
+        self._parts.drain.is_replacing = False
         await asyncio.get_running_loop().create_future()
 
-    def _use_change(self, change: ReportedList | ServerSends) -> None:
-        if isinstance(change, ReportedList):
-            self._use_list_change(change)
-            return
+    async def tell_predecessor(self) -> None:
+        """Tells the predecessor each change of this process's manual drain, for as long as the program runs."""
+        while True:
+            await self._drain_changed.wait()
+            self._drain_changed.clear()
+            await self._state_receiver.send_drain(self._manual_drain())
+
+    def _use_change(self, change: StateChange) -> None:
+        match change:
+            case ReportedList():
+                self._use_list_change(change)
+            case ServerSends():
+                self._use_sends(change)
+            case ManualDrain():
+                self._use_predecessor_drain(change)
+
+    def _use_predecessor_drain(self, drain: ManualDrain) -> None:
+        state = self._parts.drain
+        if drain.started_ms is not None and not state.is_manually_draining:
+            state.is_replacing = True
+        self._use_drain(drain)
+
+    def _use_drain(self, drain: ManualDrain) -> None:
+        """Begins or ends this process's manual drain as the other process of an upgrade did."""
+        with contextlib.suppress(OperationRejectedError):  # raised if this process is stopping: it goes on saying no
+            if drain.started_ms is None:
+                self._parts.shutdown.end_manual_drain()
+            else:
+                self._parts.shutdown.continue_manual_drain(self._parts.clock.from_machine_ms(drain.started_ms))
+
+    def _use_sends(self, spent: ServerSends) -> None:
         clock = self._parts.clock
         sends = tuple(
-            interface.SentLoad(us_from_ms(clock.from_machine_ms(sent.at_ms)), sent.load) for sent in change.sends
+            interface.SentLoad(us_from_ms(clock.from_machine_ms(sent.at_ms)), sent.load) for sent in spent.sends
         )
-        self._parts.routing.post_required(interface.SlowStartSends(change.name, sends))
+        self._parts.routing.post_required(interface.SlowStartSends(spent.name, sends))
 
     def _use_list_change(self, change: ReportedList) -> None:
         """Uses a change of the predecessor's list, unless this process has been told as much."""
@@ -170,10 +222,18 @@
             sends = tuple(ServerSend(clock.to_machine_ms(ms_from_us(sent.at_us)), sent.load) for sent in event.sends)
             self._state_sender.publish(ServerSends(event.server_id, sends))
 
-    def _reported_list(self) -> ReportedList:
+    def _publish_drain(self) -> None:
+        self._state_sender.publish(self._manual_drain())
+        self._drain_changed.set()
+
+    def _manual_drain(self) -> ManualDrain:
+        started_ms = self._parts.drain.manual_started_ms
+        return ManualDrain(None if started_ms is None else self._parts.clock.to_machine_ms(started_ms))
+
+    def _read_state(self) -> StateSnapshot:
         servers = self._parts.servers
         kind = EndpointListKind.FULL if servers.has_list else EndpointListKind.CACHED
-        return self._build_list(kind, servers.rows.values())
+        return StateSnapshot(self._manual_drain(), self._build_list(kind, servers.rows.values()))
 
     def _build_list(self, kind: EndpointListKind, rows: Iterable[EndpointRow]) -> ReportedList:
         """Returns rows of the endpoint list of this process, with times of the machine's clock."""
--- a/glenrock/upgrade/state_connection.py
+++ b/glenrock/upgrade/state_connection.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 
 from ..net.socket_io import recv_into, wait_writable
-from .state_message import MAX_MESSAGE_BYTES, StateMessage, StateMessageError, decode
+from .state_message import MAX_MESSAGE_BYTES, ManualDrain, StateMessage, StateMessageError, decode
 
 
 class StateConnection:
@@ -51,8 +52,8 @@
             if (message := decode(bytes(self._buffer[:count]))) is not None:
                 return message
 
-    async def read_to_end(self) -> None:
-        """Discards messages until the other process has closed the connection, or sends one that is invalid."""
+    async def read_drains(self, on_drain: Callable[[ManualDrain], None]) -> None:
+        """Passes on drains until the other process has closed the connection, or sends anything else."""
         with contextlib.suppress(OSError, EOFError, StateMessageError):
-            while True:
-                await self.receive()
+            while isinstance(message := await self.receive(), ManualDrain):
+                on_drain(message)
--- a/glenrock/upgrade/state_message.py
+++ b/glenrock/upgrade/state_message.py
@@ -2,10 +2,10 @@
 
 Each message is one JSON object on a Unix socket. The new process connects, and the old one sends:
 
-    Greeting, ListBegin, ServerPart (any number), ListEnd, SnapshotEnd
+    Greeting, ManualDrain, ListBegin, ServerPart (any number), ListEnd, SnapshotEnd
 
-and then, while both processes run, ListBegin to ListEnd for each change of its list, and ServerSends when the
-old one stops.
+and then, while both processes run, ManualDrain for each change of its drain, ListBegin to ListEnd for each change of
+its list, and ServerSends when the old one stops. The new one sends ManualDrain for each change of its own drain.
 
 Times are CLOCK_MONOTONIC in milliseconds, which both processes share, whatever happens to the wall clock.
 
@@ -40,6 +40,7 @@
 ROWS = "rows"
 LIST_END = "list_end"
 SENDS = "sends"
+DRAIN = "drain"
 SNAPSHOT_END = "end"
 WORD_BY_KIND = {
     EndpointListKind.FULL: "full",
@@ -132,7 +133,17 @@
     sends: tuple[ServerSend, ...]
 
 
-StateMessage = Greeting | ListBegin | ServerPart | ListEnd | SnapshotEnd | ServerSends
+@dataclass(frozen=True)
+class ManualDrain:
+    """Whether an operator drains the balancer: when the drain began, or None without one."""
+
+    started_ms: float | None
+
+
+SingleMessage = Greeting | ManualDrain | ListBegin | ListEnd | SnapshotEnd | ServerSends
+"""The messages that are encoded one by one; parts of a list are encoded with it."""
+
+StateMessage = SingleMessage | ServerPart
 
 
 @dataclass(frozen=True)
@@ -146,15 +157,27 @@
     servers: tuple[ToldServer, ...]
 
 
+@dataclass(frozen=True)
+class StateSnapshot:
+    """What a process of an upgrade has been told: by an operator, and by discovery."""
+
+    manual_drain: ManualDrain
+    reported: ReportedList
+
+
+StateChange = ReportedList | ServerSends | ManualDrain
+"""What one process tells the other after the snapshot."""
+
+
 # -- encoding ------------------------------------------------------------------------------------------
 
 
-def encode(message: Greeting | ListBegin | ListEnd | SnapshotEnd | ServerSends) -> bytes:
+def encode(message: SingleMessage) -> bytes:
     """Returns the bytes of a message."""
     return json.dumps(_content_of(message)).encode()
 
 
-def _content_of(message: Greeting | ListBegin | ListEnd | SnapshotEnd | ServerSends) -> dict[str, Any]:
+def _content_of(message: SingleMessage) -> dict[str, Any]:
     match message:
         case Greeting(balancer):
             return {"kind": GREETING, "version": VERSION, "balancer": balancer}
@@ -168,6 +191,8 @@
             }
         case ListEnd(row_count):
             return {"kind": LIST_END, "rows": row_count}
+        case ManualDrain(started_ms):
+            return {"kind": DRAIN, "started_at": started_ms}
         case SnapshotEnd():
             return {"kind": SNAPSHOT_END}
         case ServerSends(name, sends):
@@ -175,6 +200,13 @@
             return {"kind": SENDS, "name": name, "sends": [[sent.at_ms, sent.load] for sent in latest]}
 
 
+def encode_change(change: StateChange) -> Iterator[bytes]:
+    """Returns the messages of a change one by one."""
+    if isinstance(change, ReportedList):
+        return encode_list(change)
+    return iter([encode(change)])
+
+
 def encode_list(reported: ReportedList) -> Iterator[bytes]:
     """Returns the messages of a list one by one, so that the caller can let other tasks run between them."""
     yield encode(ListBegin(reported.kind, reported.version, reported.discovery, reported.answered_ms))
@@ -238,6 +270,8 @@
             return ListEnd(_integer(content["rows"]))
         case "end":
             return SnapshotEnd()
+        case "drain":
+            return ManualDrain(_optional_ms(content["started_at"]))
         case "sends":
             return _decode_sends(content)
         case _:
--- a/glenrock/upgrade/state_receiver.py
+++ b/glenrock/upgrade/state_receiver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 
 from glenrock.routing.interface import EndpointListKind
@@ -15,13 +16,17 @@
     Greeting,
     ListBegin,
     ListEnd,
+    ManualDrain,
     ReportedList,
     ServerPart,
     ServerSends,
     SnapshotEnd,
+    StateChange,
     StateMessage,
     StateMessageError,
+    StateSnapshot,
     ToldServer,
+    encode,
 )
 from .unix_socket import create_unix_socket, socket_address
 
@@ -75,33 +80,40 @@
         self._connection: StateConnection | None = None
         self._assembler = ListAssembler()
 
-    async def receive_snapshot(self) -> ReportedList | None:
-        """Returns the predecessor's endpoint list; None, with a line in the log, if it cannot be had in time."""
+    async def receive_snapshot(self) -> StateSnapshot | None:
+        """Returns what the predecessor was told; None, with a line in the log, if it cannot be had in time."""
         started_ms = self._clock.now_ms()
-        reported: ReportedList | None = None
+        snapshot: StateSnapshot | None = None
         try:
             self._connection = self._connect()
             async with self._clock.time_limit(SNAPSHOT_TIMEOUT_MS) as limit:
-                reported = await self._read_snapshot(self._connection)
+                snapshot = await self._read_snapshot(self._connection)
             if limit.has_expired:
                 raise TimeoutError(f"not complete within {SNAPSHOT_TIMEOUT_MS:.0f} ms")
         except (OSError, EOFError, StateMessageError) as error:
             logger.warning("predecessor's endpoint list not received", error=error)
             self._close()
             return None
-        if reported:
+        if snapshot:
             duration_ms = round(self._clock.now_ms() - started_ms, 1)
-            logger.info("predecessor's endpoint list received", servers=len(reported.servers), ms=duration_ms)
-        return reported
+            servers = len(snapshot.reported.servers)
+            logger.info("predecessor's endpoint list received", servers=servers, ms=duration_ms)
+        return snapshot
+
+    async def send_drain(self, drain: ManualDrain) -> None:
+        """Tells the predecessor that an operator has begun or ended a drain at this process, if it still runs."""
+        with contextlib.suppress(OSError):
+            if self._connection:
+                await self._connection.send(encode(drain))
 
-    async def follow(self, on_change: Callable[[ReportedList | ServerSends], None]) -> None:
+    async def follow(self, on_change: Callable[[StateChange], None]) -> None:
         """Passes on what the predecessor tells after its snapshot, until it ends."""
         if not self._connection:
             return
         try:
             while True:
                 message = await self._connection.receive()
-                change = message if isinstance(message, ServerSends) else self._add(message)
+                change = message if isinstance(message, ServerSends | ManualDrain) else self._add(message)
                 if change:
                     on_change(change)
         except (OSError, EOFError, StateMessageError) as error:
@@ -123,14 +135,18 @@
             self._connection.close()
             self._connection = None
 
-    async def _read_snapshot(self, connection: StateConnection) -> ReportedList:
+    async def _read_snapshot(self, connection: StateConnection) -> StateSnapshot:
         self._check_greeting(await connection.receive())
         reported: ReportedList | None = None
+        manual_drain = ManualDrain(None)
         while True:
-            message = await connection.receive()
-            if isinstance(message, SnapshotEnd) and reported:
-                return reported
-            reported = self._add(message) or reported
+            match await connection.receive():
+                case SnapshotEnd() if reported:
+                    return StateSnapshot(manual_drain, reported)
+                case ManualDrain() as message:
+                    manual_drain = message
+                case message:
+                    reported = self._add(message) or reported
 
     def _add(self, message: StateMessage) -> ReportedList | None:
         """Handles a message after the greeting. Returns the list that it completes.
--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -14,11 +14,12 @@
 from .state_message import (
     SOCKET_NAME,
     Greeting,
-    ReportedList,
-    ServerSends,
+    ManualDrain,
     SnapshotEnd,
+    StateChange,
+    StateSnapshot,
     encode,
-    encode_list,
+    encode_change,
 )
 from .unix_socket import create_unix_socket, listen, socket_address
 
@@ -26,9 +27,6 @@
 MAX_SUCCESSORS = 4  # connections at once; further ones are closed
 MAX_QUEUED_CHANGES = 64  # of one successor; one that reads more slowly gets the whole list instead
 
-StateChange = ReportedList | ServerSends
-"""What a successor is told after the snapshot."""
-
 logger = get_logger(__name__)
 
 
@@ -38,13 +36,21 @@
     Args:
         folder: the folder that both processes of an upgrade share.
         balancer: the configured name of this balancer.
-        read_list: returns the endpoint list of this process.
+        read_state: returns what this process has been told.
+        on_drain: called with each change of a successor's manual drain.
     """
 
-    def __init__(self, folder: str, balancer: str, read_list: Callable[[], ReportedList]) -> None:
+    def __init__(
+        self,
+        folder: str,
+        balancer: str,
+        read_state: Callable[[], StateSnapshot],
+        on_drain: Callable[[ManualDrain], None],
+    ) -> None:
         self._folder = folder
         self._balancer = balancer
-        self._read_list = read_list
+        self._read_state = read_state
+        self._on_drain = on_drain
         self._socket: socket.socket | None = None
         self._inode = 0  # of the socket's file
         self._queues: dict[asyncio.Task[None], Mailbox[StateChange]] = {}  # by the task that serves a successor
@@ -68,7 +74,9 @@
         for queue in self._queues.values():
             if not queue.try_put(change):
                 queue.messages.clear()
-                queue.put_unbounded(self._read_list())
+                snapshot = self._read_state()
+                queue.put_unbounded(snapshot.manual_drain)
+                queue.put_unbounded(snapshot.reported)
 
     def _accept(self, listening_socket: socket.socket) -> None:
         with contextlib.suppress(OSError):
@@ -87,7 +95,7 @@
         """Sends the snapshot and then the changes, until the successor closes the connection."""
         with contextlib.closing(connection):
             sending = asyncio.get_running_loop().create_task(self._send(connection, queue))
-            reading = asyncio.get_running_loop().create_task(connection.read_to_end())
+            reading = asyncio.get_running_loop().create_task(connection.read_drains(self._on_drain))
             await asyncio.wait([sending, reading], return_when=asyncio.FIRST_COMPLETED)
             for task in (sending, reading):
                 task.cancel()
@@ -98,7 +106,9 @@
     async def _send(self, connection: StateConnection, queue: Mailbox[StateChange]) -> None:
         with contextlib.suppress(OSError):
             await connection.send(encode(Greeting(self._balancer)))
-            reported = self._read_list()
+            snapshot = self._read_state()
+            reported = snapshot.reported
+            await self._send_change(connection, snapshot.manual_drain)
             await self._send_change(connection, reported)
             await connection.send(encode(SnapshotEnd()))
             logger.info("successor told the endpoint list", servers=len(reported.servers), version=reported.version)
@@ -106,8 +116,7 @@
                 await self._send_change(connection, await queue.get())
 
     async def _send_change(self, connection: StateConnection, change: StateChange) -> None:
-        messages = encode_list(change) if isinstance(change, ReportedList) else iter([encode(change)])
-        for data in messages:
+        for data in encode_change(change):
             await connection.send(data)
 
     def _replace_dead_socket(self) -> None:
--- a/tests/coordination/test_drain_limiter.py
+++ b/tests/coordination/test_drain_limiter.py
@@ -110,3 +110,18 @@
     assert rig.limiter.permit_job is None
     assert rig.drain.is_manually_draining
     assert not rig.is_requested()
+
+
+def test_drain_that_was_taken_over_in_an_upgrade_requests_a_permit(tmp_path: Path) -> None:
+    host = FakeHost()
+    host.drain = DrainState(host.clock, lambda _: None)
+    host.drain.begin_manual(host.clock.now_ms())
+    tasks = DeferredTasks()
+    context = build_context(host, tmp_path, tasks=tasks)
+    limiter = DrainLimiter(context, 1)
+    limiter.start()
+    assert context.leases.manager.tick(boottime_us() + TIMING.lease_us).requests
+    context.leases.publish([JobEvent(JOB, LeaseAcquired(TERM, boottime_us() + TIMING.lease_us))])
+    assert limiter.permit_job == JOB
+    for coroutine in tasks.coroutines:
+        coroutine.close()
--- a/tests/upgrade/test_state_message.py
+++ b/tests/upgrade/test_state_message.py
@@ -26,12 +26,14 @@
     Greeting,
     ListBegin,
     ListEnd,
+    ManualDrain,
     ReportedList,
     ServerPart,
     ServerSend,
     ServerSends,
     SnapshotEnd,
     StateMessageError,
+    StateSnapshot,
     ToldServer,
     decode,
     encode,
@@ -108,7 +110,7 @@
     assert decode(b'{"kind": "of a later release", "rows": 3}') is None
 
 
-async def receive(folder: Path, messages: list[bytes], closes: bool = True) -> ReportedList | None:
+async def receive(folder: Path, messages: list[bytes], closes: bool = True) -> StateSnapshot | None:
     """Returns what a successor receives from a predecessor that sends these messages."""
     sock, _ = listen(str(folder), SOCKET_NAME, 1)
     receiving = asyncio.create_task(StateReceiver(str(folder), BALANCER, Clock()).receive_snapshot())
@@ -126,8 +128,14 @@
 
 def test_whole_snapshot_is_received(tmp_path: Path) -> None:
     later_kind = b'{"kind": "of a later release"}'
-    messages = [GREETING, later_kind, *LIST, later_kind, END]
-    assert asyncio.run(receive(tmp_path, messages)) == reported_list([server(1), server(2)])
+    drain = ManualDrain(5.5)
+    messages = [GREETING, later_kind, encode(drain), *LIST, later_kind, END]
+    assert asyncio.run(receive(tmp_path, messages)) == StateSnapshot(drain, reported_list([server(1), server(2)]))
+
+
+def test_snapshot_without_a_drain_says_that_there_is_none(tmp_path: Path) -> None:
+    snapshot = asyncio.run(receive(tmp_path, SNAPSHOT))
+    assert snapshot is not None and snapshot.manual_drain == ManualDrain(None)
 
 
 @pytest.mark.parametrize(
