Refactor: a module for the state that is exchanged, and one for the choice of a list

Cause: ProcessUpgrade had grown to hold the registry, the relays and all of the state exchange; the flag of a taken-over drain was set from outside and could outlast the drain.

Change: `state_exchange.py` exchanges state, `list_selection.py` chooses between lists without I/O, and `process_upgrade.py` is back to sockets and relays. A drain that is begun says itself whether it was taken over, and its end clears that (one more test). A change of the list builds nothing while no successor is connected.

--- a/glenrock/net/drain_state.py
+++ b/glenrock/net/drain_state.py
@@ -81,11 +81,12 @@
         if self.is_stopping:
             raise OperationRejectedError("not done: the process is stopping")
 
-    def begin_manual(self, started_ms: float) -> bool:
+    def begin_manual(self, started_ms: float, *, is_replacing: bool = False) -> bool:
         """Begins a manual drain. Returns False if one is in progress.
 
         Args:
             started_ms: when the drain began, on the process's clock.
+            is_replacing: whether the drain is taken over from a predecessor in an upgrade that still runs.
 
         Raises:
             OperationRejectedError: the process is stopping.
@@ -94,6 +95,7 @@
         if self.is_manually_draining:
             return False
         self.manual_started_ms = started_ms
+        self.is_replacing = is_replacing
         self._post_drain_mode(interface.DrainMode(True))
         self.on_manual_change()
         return True
@@ -108,6 +110,7 @@
         if not self.is_manually_draining:
             return False
         self.manual_started_ms = None
+        self.is_replacing = False
         self._post_drain_mode(interface.DrainMode(False))
         self.on_manual_change()
         return True
--- a/glenrock/net/graceful_shutdown.py
+++ b/glenrock/net/graceful_shutdown.py
@@ -75,16 +75,17 @@
         """
         self.continue_manual_drain(self._clock.now_ms())
 
-    def continue_manual_drain(self, started_ms: float) -> None:
+    def continue_manual_drain(self, started_ms: float, *, is_replacing: bool = False) -> None:
         """Continues a manual drain that another process of this balancer has begun, unless one is in progress here.
 
         Args:
             started_ms: when the drain began, on the process's clock.
+            is_replacing: whether that process is the predecessor in an upgrade.
 
         Raises:
             OperationRejectedError: the process is stopping.
         """
-        if self._state.begin_manual(started_ms):
+        if self._state.begin_manual(started_ms, is_replacing=is_replacing):
             logger.info("drain started", clients=len(self._table.by_id))
             self._manual_drain = asyncio.get_running_loop().create_task(self._drain(started_ms))
 
--- a/glenrock/program.py
+++ b/glenrock/program.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from .coordination.agent import CoordinationAgent
     from .upgrade.process_upgrade import ProcessUpgrade
+    from .upgrade.state_exchange import StateExchange
 
 FIRST_LIST_TIMEOUT_MS = 300.0
 SUCCESSOR_LIST_TIMEOUT_MS = 3000.0  # the predecessor serves clients meanwhile, and a new process is due within 6 s
@@ -120,10 +121,11 @@
     Raises:
         ConfigError: the descriptor is not a listening TCP socket.
     """
-    from .upgrade.process_upgrade import BalancerParts, ProcessUpgrade
+    from .upgrade.process_upgrade import ProcessUpgrade
+    from .upgrade.state_exchange import StateExchange, StateOwners
 
-    parts = BalancerParts(
-        connections=program.connections,
+    folder = program.config.shared_folder
+    owners = StateOwners(
         routing=program.routing,
         servers=program.servers,
         endpoints=program.endpoints,
@@ -132,7 +134,8 @@
         shutdown=program.shutdown,
         clock=program.clock,
     )
-    return ProcessUpgrade(program.config.shared_folder, descriptor, program.config.name, parts)
+    state = StateExchange(folder, program.config.name, owners)
+    return ProcessUpgrade(folder, descriptor, program.connections, program.routing, program.clock, state)
 
 
 def _create_poll_backoff(config: Config) -> PollBackoff:
@@ -206,6 +209,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._upgrade = _create_upgrade(self, config.accept_fd) if config.accept_fd is not None else None
 
+    @property
+    def _shared_state(self) -> StateExchange | None:
+        """Exchanges state with the other process of an upgrade; None if this process can have none."""
+        return self._upgrade.state if self._upgrade else None
+
     def _check_budget(self) -> None:
         """Raises ConfigError if the descriptor limit is too low to serve a single client."""
         try:
@@ -215,8 +223,8 @@
 
     def _update_endpoints(self, kind: interface.EndpointListKind, rows: list[EndpointRow]) -> None:
         self.servers.update(kind, rows)
-        if self._upgrade:
-            self._upgrade.publish_change(kind, rows)
+        if self._shared_state:
+            self._shared_state.publish_change(kind, rows)
 
     def _report_poll_failure(self) -> None:
         self.routing.post_required(interface.EndpointList(interface.EndpointListKind.FAILED))
@@ -274,7 +282,7 @@
             Whether discovery has reported the list, to this process or its predecessor.
         """
         configured = self.config.raw_cached_endpoints
-        if self._upgrade is None or not self._upgrade.use_predecessor_list(configured):
+        if self._shared_state is None or not self._shared_state.use_predecessor_list(configured):
             self.endpoints.use_cached_list(configured)
         return self.servers.has_list
 
@@ -294,10 +302,10 @@
         self.acceptor.open(inherited or listen(self.config.listen))
         self.start_task(self.connections.sweep())
         if self._upgrade:
-            self._upgrade.receive_relays()
-            self._upgrade.tell_successors()
-            self.start_task(self._upgrade.follow_predecessor())
-            self.start_task(self._upgrade.tell_predecessor())
+            self._upgrade.listen()
+        if self._shared_state:
+            self.start_task(self._shared_state.follow_predecessor())
+            self.start_task(self._shared_state.tell_predecessor())
         if self.operators:
             self.operators.operations.is_serving = True
 
@@ -348,8 +356,8 @@
         """
         await self._serve_until(stop)
         logger.info("stopping", clients=len(self.connections.by_id))
-        if self._upgrade:
-            self._upgrade.publish_slow_start_sends()
+        if self._shared_state:
+            self._shared_state.publish_slow_start_sends()
         relay_sender = self._upgrade.create_relay_sender() if self._upgrade else None
         if self.coordination:
             self.start_task(self.coordination.stop())
--- a/glenrock/upgrade/state_receiver.py
+++ b/glenrock/upgrade/state_receiver.py
@@ -5,8 +5,6 @@
 import contextlib
 from collections.abc import Callable
 
-from glenrock.routing.interface import EndpointListKind
-
 from ..log import get_logger
 from ..net.clock import Clock
 from .state_connection import StateConnection
@@ -165,36 +163,3 @@
             raise StateMessageError(f"expected a greeting, got {type(message).__name__}")
         if message.balancer != self._balancer:
             raise StateMessageError(f"of another balancer, {message.balancer:.100}")
-
-
-def is_change_news(change: ReportedList, newest_version: int, discovery: str, has_answered: bool) -> bool:
-    """Returns whether this process uses a change that the predecessor was told.
-
-    Args:
-        change: the change, or a whole new list.
-        newest_version: the version of this process's list; negative if it is unknown.
-        discovery: host and port of the discovery that this process calls.
-        has_answered: whether that discovery has answered this process.
-    """
-    if change.discovery == discovery and change.version is not None:
-        return change.version > newest_version
-    return not has_answered
-
-
-def unusable_reason(reported: ReportedList, configured_version: int, discovery: str) -> str | None:
-    """Returns why a start uses the configured list in place of the predecessor's; None if it uses the predecessor's.
-
-    Versions are comparable only if both lists are from the same discovery.
-
-    Args:
-        reported: the predecessor's list.
-        configured_version: the version of the configured list; negative if there is none.
-        discovery: host and port of the discovery that this process calls.
-    """
-    if not reported.servers:
-        return "it is empty"
-    if reported.kind is EndpointListKind.CACHED and reported.version is None:
-        return "discovery has not reported it"
-    if reported.discovery == discovery and reported.version is not None and reported.version < configured_version:
-        return f"version {reported.version} is older than the configured {configured_version}"
-    return None
--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -69,6 +69,11 @@
             return
         loop.add_reader(self._socket, self._accept, self._socket)
 
+    @property
+    def has_successors(self) -> bool:
+        """Whether a successor is connected."""
+        return bool(self._queues)
+
     def publish(self, change: StateChange) -> None:
         """Tells all connected successors a change."""
         for queue in self._queues.values():
--- a/tests/net/test_manual_drain.py
+++ b/tests/net/test_manual_drain.py
@@ -112,6 +112,28 @@
     run_on_rig(scenario)
 
 
+def test_drain_that_was_taken_over_is_ready_until_its_predecessor_has_ended() -> None:
+    async def scenario(rig: LoopbackRig) -> None:
+        await rig.open()
+        async with serving(rig):
+            drain = rig.program.drain
+            rig.program.shutdown.continue_manual_drain(rig.clock.now_ms() - REJECTS_AFTER_MS, is_replacing=True)
+            assert drain.unready_reason() is None
+            assert await answer_to(rig, rig.connect_client(), PING) == b"ERR\r\n"
+            assert (await new_request(rig, 1)).startswith(b"BUSY")
+            drain.is_replacing = False
+            assert drain.unready_reason() == "not ready: draining"
+            rig.program.shutdown.end_manual_drain()
+            assert drain.unready_reason() is None
+            # An operator's own call to this process is a no at once, although the predecessor may still run.
+            rig.program.shutdown.continue_manual_drain(rig.clock.now_ms(), is_replacing=True)
+            rig.program.shutdown.end_manual_drain()
+            rig.program.shutdown.start_manual_drain()
+            assert drain.unready_reason() == "not ready: draining"
+
+    run_on_rig(scenario)
+
+
 def test_activate_before_sigterm_leads_to_a_yes_and_to_an_ordinary_shutdown() -> None:
     async def scenario(rig: LoopbackRig) -> None:
         await rig.open()
--- a/tests/upgrade/test_state_message.py
+++ b/tests/upgrade/test_state_message.py
@@ -16,6 +16,7 @@
 from glenrock.net.endpoint_rows import EndpointRow
 from glenrock.routing.interface import EndpointListKind, EndpointState
 from glenrock.upgrade import state_receiver
+from glenrock.upgrade.list_selection import is_change_news, unusable_reason
 from glenrock.upgrade.state_message import (
     MAX_LIST_ROWS,
     MAX_MESSAGE_BYTES,
@@ -39,7 +40,7 @@
     encode,
     encode_list,
 )
-from glenrock.upgrade.state_receiver import ListAssembler, StateReceiver, is_change_news, unusable_reason
+from glenrock.upgrade.state_receiver import ListAssembler, StateReceiver
 from glenrock.upgrade.unix_socket import listen
 
 BALANCER = "n0"
