--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -104,7 +104,9 @@
             await asyncio.wait([sending, reading], return_when=asyncio.FIRST_COMPLETED)
             for task in (sending, reading):
                 task.cancel()
-            await asyncio.gather(sending, reading, return_exceptions=True)
+            for result in await asyncio.gather(sending, reading, return_exceptions=True):
+                if isinstance(result, Exception):  # a fault here must not end the process
+                    logger.error("unexpected error while a successor was told", error=repr(result))
         logger.info("connection of a successor ended")
         self._replace_dead_socket()
 
