Sends of slow starts are not dropped in place of changes of the list

Found as the change was read again: a process that stops with sends at more than 64 cold servers filled the queue of its successor, which then got the whole list in place of what was queued, and not the sends.

Change: sends are always queued; there is one message for each server, once. The bound stays for changes of list and drain.

Evidence: the new test (65 changes and 64 sends in one turn: the drain, the whole list, all sends) fails without the change, since the sends do not come within 5 s.

--- a/glenrock/upgrade/state_sender.py
+++ b/glenrock/upgrade/state_sender.py
@@ -15,6 +15,7 @@
     SOCKET_NAME,
     Greeting,
     ManualDrain,
+    ServerSends,
     SnapshotEnd,
     StateChange,
     StateSnapshot,
@@ -77,7 +78,9 @@
     def publish(self, change: StateChange) -> None:
         """Tells all connected successors a change."""
         for queue in self._queues.values():
-            if not queue.try_put(change):
+            if isinstance(change, ServerSends):  # once for each server, as this process stops
+                queue.put_unbounded(change)
+            elif not queue.try_put(change):
                 queue.messages.clear()
                 snapshot = self._read_state()
                 queue.put_unbounded(snapshot.manual_drain)
--- a/tests/upgrade/test_taken_over_state.py
+++ b/tests/upgrade/test_taken_over_state.py
@@ -2,15 +2,30 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
+from pathlib import Path
 
 import pytest
 
-from glenrock.net.clock import us_from_ms
+from glenrock.config import Address
+from glenrock.net.clock import Clock, us_from_ms
+from glenrock.net.endpoint_rows import EndpointRow
+from glenrock.routing.interface import EndpointListKind, EndpointState
 from glenrock.routing.state import Server, TimedLoad
+from glenrock.upgrade.state_message import (
+    ManualDrain,
+    ReportedList,
+    ServerSends,
+    StateChange,
+    StateSnapshot,
+    ToldServer,
+)
+from glenrock.upgrade.state_receiver import StateReceiver
+from glenrock.upgrade.state_sender import MAX_QUEUED_CHANGES, StateSender
 
 from .conftest import RunWithRig, UpgradeRig
-from .two_programs import two_programs
+from .two_programs import two_programs, wait_until
 
 HOUR_MS = 3_600_000.0
 TOLERANCE_US = 1000
@@ -91,3 +106,28 @@
             await programs.wait_for_server(new, "s2", lambda server: not server.slow_start_sends)
 
     run_with_rig(scenario)
+
+
+def test_successor_that_does_not_read_gets_the_whole_list_in_place_of_many_changes(tmp_path: Path) -> None:
+    """Guards against changes that pile up for a successor that hangs, and against sends that are dropped for them."""
+    row = EndpointRow("s1", Address("127.0.0.1", 1), EndpointState.READY)
+    whole = ReportedList(EndpointListKind.FULL, 99, "127.0.0.1:2", None, (ToldServer(row),))
+    change = ReportedList(EndpointListKind.CHANGES, 7, "127.0.0.1:2", None, (ToldServer(row),))
+    sends = [ServerSends(f"s{number}", ()) for number in range(MAX_QUEUED_CHANGES)]
+    published: list[StateChange] = [*[change] * (MAX_QUEUED_CHANGES + 1), *sends]
+    received: list[StateChange] = []
+
+    async def scenario() -> None:
+        snapshot = StateSnapshot(ManualDrain(None), whole)
+        sender = StateSender(str(tmp_path), "n0", lambda: snapshot, lambda _: None)
+        sender.listen()
+        receiver = StateReceiver(str(tmp_path), "n0", Clock())
+        assert await receiver.receive_snapshot() == snapshot
+        for item in published:  # in one turn, so that none is sent meanwhile
+            sender.publish(item)
+        following = asyncio.create_task(receiver.follow(received.append))
+        await wait_until(lambda: len(received) == 2 + len(sends))
+        following.cancel()
+        assert received == [ManualDrain(None), whole, *sends]
+
+    asyncio.run(scenario())
