A known failure may be of one kind of machine, on others its test must pass

Change: a line may name a kind of machine in a fourth column. Elsewhere the test runs as any other, so a failure on x86-64 fails the run from now on.

Evidence: eight new cases of the test of the list, with this machine and with another; played on x86-64 only.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,24 +3,44 @@
 KNOWN-RED.txt at the root lists these tests, one a line:
 
     tests/test_x.py::test_y | the cause | the issue
+    tests/test_x.py::test_z | the cause | the issue | aarch64
 
 The listed tests run like all others, but their failures do not fail the run. The run fails if a listed test passes, if
-a listed id does not name a test, or if more than three tests are listed. `conftest.py` imports the hooks.
+a listed id does not name a test, or if more than three tests are listed. A line with a kind of machine, as `uname -m`
+names it, is for that kind alone: on any other the test must pass. `conftest.py` imports the hooks.
 """
 
 from __future__ import annotations
 
+import platform
 from pathlib import Path
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import pytest
 
 FILE_NAME = "KNOWN-RED.txt"
 MAX_KNOWN_FAILURES = 3
-COLUMN_COUNT = 3
+COLUMN_COUNTS = (3, 4)
 
-KNOWN_FAILURES: pytest.StashKey[dict[str, str]] = pytest.StashKey()
-"""Cause and issue of each listed test, by its id."""
+
+class KnownFailure(NamedTuple):
+    """A listed test: its cause and issue, and the kind of machine on which it fails; empty for every kind."""
+
+    reason: str
+    machine: str = ""
+
+    @property
+    def is_expected(self) -> bool:
+        """Whether the test is expected to fail on this machine."""
+        return self.machine in ("", platform.machine())
+
+    def __str__(self) -> str:
+        """Returns the reason and the kind of machine."""
+        return f"{self.reason}, on {self.machine}" if self.machine else self.reason
+
+
+KNOWN_FAILURES: pytest.StashKey[dict[str, KnownFailure]] = pytest.StashKey()
+"""The listed tests, by id."""
 UNKNOWN_TEST_IDS: pytest.StashKey[set[str]] = pytest.StashKey()
 """Listed ids that do not name a test, as the workers of pytest-xdist reported them."""
 UNKNOWN_TESTS_KEY = "known_red_unknown_tests"
@@ -33,23 +53,23 @@
     config: pytest.Config
 
 
-def parse_known_failures(text: str) -> dict[str, str]:
-    """Returns the cause and issue of each listed test, by its id.
+def parse_known_failures(text: str) -> dict[str, KnownFailure]:
+    """Returns the listed tests, by id.
 
     Raises:
         ValueError: a line is malformed or repeated, or there are too many.
     """
-    known: dict[str, str] = {}
+    known: dict[str, KnownFailure] = {}
     for number, line in enumerate(text.splitlines(), 1):
         if not line.strip() or line.startswith("#"):
             continue
         columns = [column.strip() for column in line.split("|")]
-        if len(columns) != COLUMN_COUNT or not all(columns) or "::" not in columns[0] or columns[0] in known:
+        if len(columns) not in COLUMN_COUNTS or not all(columns) or "::" not in columns[0] or columns[0] in known:
             raise ValueError(
                 f"{FILE_NAME}, line {number}: expected 'test | cause | issue', each test once, got {line!r:.80}"
             )
-        test_id, cause, issue = columns
-        known[test_id] = f"{cause} (issue {issue})"
+        test_id, cause, issue, *machine = columns
+        known[test_id] = KnownFailure(f"{cause} (issue {issue})", *machine)
     if len(known) > MAX_KNOWN_FAILURES:
         raise ValueError(f"{FILE_NAME}: {len(known)} tests are listed, at most {MAX_KNOWN_FAILURES} are allowed")
     return known
@@ -79,14 +99,15 @@
         raise pytest.UsageError(f"{FILE_NAME}: {unknown[0]} does not name a test")
 
 
-def _mark_known_failures(items: list[pytest.Item], known: dict[str, str]) -> set[str]:
-    """Marks the collected tests that are listed. Returns the listed ids that were found."""
+def _mark_known_failures(items: list[pytest.Item], known: dict[str, KnownFailure]) -> set[str]:
+    """Marks the collected tests that are expected to fail here. Returns the listed ids that were found."""
     found: set[str] = set()
     for item in items:
         for test_id in (item.nodeid, item.nodeid.partition("[")[0]):
             if test_id in known:
                 found.add(test_id)
-                item.add_marker(pytest.mark.xfail(reason=known[test_id], strict=True))
+                if known[test_id].is_expected:
+                    item.add_marker(pytest.mark.xfail(reason=known[test_id].reason, strict=True))
                 break
     return found
 
@@ -126,5 +147,5 @@
     known = stash.get(KNOWN_FAILURES, {})
     if known:
         terminalreporter.section("known failures")
-        for test_id, cause in known.items():
-            terminalreporter.line(f"{test_id}: {cause}")
+        for test_id, failure in known.items():
+            terminalreporter.line(f"{test_id}: {failure}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import platform
 import shutil
 import subprocess
 import sys
@@ -11,6 +12,8 @@
 import pytest
 
 FAILING_TEST_LINE = "tests/test_a.py::test_red | it is not fixed | 7\n"
+BOTH_LINE = "tests/test_a.py::test_both | both cases fail | 8\n"
+PASSING_TEST_LINE = "tests/test_a.py::test_green | it passes | 8"
 TESTS = """
 import pytest
 
@@ -78,6 +81,22 @@
             "3 xfailed",
         ),
         (FAILING_TEST_LINE + "tests/test_a.py::test_green | it passes | 8\n", 1, "[XPASS(strict)] it passes (issue 8)"),
+        (
+            FAILING_TEST_LINE.strip() + f" | {platform.machine()}\n" + BOTH_LINE,
+            0,
+            f"tests/test_a.py::test_red: it is not fixed (issue 7), on {platform.machine()}",
+        ),
+        (FAILING_TEST_LINE.strip() + f" | {platform.machine()}\n" + BOTH_LINE, 0, "1 passed, 3 xfailed"),
+        (FAILING_TEST_LINE.strip() + " | another\n" + BOTH_LINE, 1, "1 failed, 1 passed, 2 xfailed"),
+        (
+            FAILING_TEST_LINE.strip() + " | another\n",
+            1,
+            "tests/test_a.py::test_red: it is not fixed (issue 7), on another",
+        ),
+        (PASSING_TEST_LINE + f" | {platform.machine()}\n", 1, "[XPASS(strict)] it passes (issue 8)"),
+        (PASSING_TEST_LINE + " | another\n" + FAILING_TEST_LINE + BOTH_LINE, 0, "1 passed, 3 xfailed"),
+        ("tests/test_a.py::test_gone | x | 1 | another\n", 4, "tests/test_a.py::test_gone does not name a test"),
+        ("tests/test_a.py::test_red | x | 1 | another | more\n", 4, "line 1: expected 'test | cause | issue'"),
         ("tests/test_a.py::test_gone | x | 1\n", 4, "tests/test_a.py::test_gone does not name a test"),
         ("tests/test_b.py::test_gone | x | 1\n", 4, "tests/test_b.py::test_gone does not name a test"),
         ("tests/test_a.py::test_red | no issue\n", 4, "line 1: expected 'test | cause | issue'"),
