A change passes on through a chain of upgrades under its own version

Found as the whole change was read again: the new process of an upgrade used a change of its predecessor's list before it took over its version, and so told its own successor the change under the version before, which that one ignored.

Change: the version comes first.

--- a/glenrock/net/endpoint_watcher.py
+++ b/glenrock/net/endpoint_watcher.py
@@ -168,11 +168,11 @@
             kind: whether discovery has reported the list, or the predecessor had it from its own start.
             rows: the rows of the list, with those of servers that are gone.
         """
-        self._on_endpoints(kind, rows)
         if version is not None:
             self.newest_version = version
             if self.backoff.must_poll:
                 self._watch_version = version
+        self._on_endpoints(kind, rows)
 
     def change_address(self, address: Address) -> None:
         """Polls discovery at another address. The present list is used until the first response."""
--- a/tests/upgrade/test_taken_over_state.py
+++ b/tests/upgrade/test_taken_over_state.py
@@ -85,6 +85,25 @@
     run_with_rig(scenario)
 
 
+def test_change_passes_on_through_a_chain_of_upgrades(
+    run_with_rig: RunWithRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a successor that passes a change on under the version of the list before it."""
+
+    async def scenario(rig: UpgradeRig) -> None:
+        async with two_programs(rig, monkeypatch) as programs:
+            old = await programs.start()
+            await programs.wait_for_server(old, "s1", lambda server: server.is_ready)
+            rig.is_silent_to_new_connections = True
+            await programs.start()
+            third = await programs.start()
+            rig.report_endpoints(version=3, s1="DRAINING")
+            await programs.wait_for_server(third, "s1", lambda server: not server.is_ready)
+            assert third.endpoints.newest_version == 3
+
+    run_with_rig(scenario)
+
+
 def test_spent_slow_start_budget_is_spent_for_the_new_program(
     run_with_rig: RunWithRig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
